--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -3,7 +3,7 @@
 use crate::protocol::records::{
     CHUNK, CHUNKS, Chunk, Entry, JOBS, JobRec, LEAD, LIVE, LeadRec, Stage, TYPES,
 };
-use crate::protocol::wire::{ItemPage, MachineType, MachineTypes, WatchAnswer};
+use crate::protocol::wire::{ItemPage, MachineType, MachineTypes, WatchAnswer, from_value};
 use rmpv::Value;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -45,7 +45,10 @@
 
     /// Tasks done.
     pub fn done_count(&self) -> u64 {
-        let more = self.chunks.values().map(|(c, _)| c.done.count_ones() as u64);
+        let more = self
+            .chunks
+            .values()
+            .map(|(c, _)| c.done.count_ones() as u64);
         self.rec.first.done.count_ones() as u64 + more.sum::<u64>()
     }
 
@@ -156,25 +159,25 @@
     pub fn put(&mut self, key: &str, value: Value, version: u64) {
         if key == LEAD {
             if self.lead.as_ref().is_none_or(|(_, v)| *v < version)
-                && let Ok(rec) = rmpv::ext::from_value::<LeadRec>(value)
+                && let Some(rec) = from_value::<LeadRec>(&value)
             {
                 self.lead = Some((rec, version));
             }
         } else if key == LIVE {
             self.live = self.live.max(Some(version));
         } else if key == TYPES {
-            if let Ok(t) = rmpv::ext::from_value::<MachineTypes>(value) {
+            if let Some(t) = from_value::<MachineTypes>(&value) {
                 self.types = Some(t.types);
             }
         } else if let Some(id) = key.strip_prefix(JOBS) {
-            match rmpv::ext::from_value::<JobRec>(value) {
-                Ok(rec) => self.put_job(id, rec, version),
-                Err(e) => log::error!("mirror: record of {id} cannot be read: {e}"),
+            match from_value::<JobRec>(&value) {
+                Some(rec) => self.put_job(id, rec, version),
+                None => log::error!("mirror: the record of {id} cannot be read"),
             }
         } else if let Some(rest) = key.strip_prefix(CHUNKS)
             && let Some((id, n)) = rest.split_once('/')
             && let Ok(n) = n.parse::<u32>()
-            && let Ok(chunk) = rmpv::ext::from_value::<Chunk>(value)
+            && let Some(chunk) = from_value::<Chunk>(&value)
         {
             self.put_chunk(id, n, chunk, version);
         }
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -183,7 +183,12 @@
                     format!("&after={after}")
                 };
                 let path = format!("/keys?under={}{from}&most=500", records::ROOT);
-                ("GET", path, Vec::new(), STORE_TIMEOUT + Micros::millis(3000))
+                (
+                    "GET",
+                    path,
+                    Vec::new(),
+                    STORE_TIMEOUT + Micros::millis(3000),
+                )
             }
             Ask::NewLease(ttl) => (
                 "POST",
--- a/src/bookkeeping/workers.rs
+++ b/src/bookkeeping/workers.rs
@@ -1,7 +1,7 @@
 //! What each worker last said, and what follows from it about tasks recorded on it.
 
-use crate::protocol::wire::{Phase, Report, Why};
 use crate::protocol::Micros;
+use crate::protocol::wire::{Phase, Report, Why};
 use std::collections::HashMap;
 
 /// A task as a worker last reported it.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -221,7 +221,14 @@
                     }),
                 ),
             };
-            self.call(CallTag::Cloud(ask), addr, method, &path, body, CLOUD_TIMEOUT);
+            self.call(
+                CallTag::Cloud(ask),
+                addr,
+                method,
+                &path,
+                body,
+                CLOUD_TIMEOUT,
+            );
         }
         next
     }
@@ -327,10 +334,7 @@
         }
         let Some(l) = &self.leader else { return };
         let txn = Txn {
-            conds: vec![super::node::cond(
-                crate::protocol::records::LEAD,
-                l.version,
-            )],
+            conds: vec![super::node::cond(crate::protocol::records::LEAD, l.version)],
             changes: vec![put(TYPES, &MachineTypes { types }, None)],
         };
         self.store.ask(Rank::First, Tag::Types, Ask::Txn(txn));
@@ -341,7 +345,11 @@
         let Some(l) = &mut self.leader else { return };
         let f = &mut l.fleet;
         if page.more {
-            f.list_after = page.machines.last().map(|m| m.id.clone()).unwrap_or_default();
+            f.list_after = page
+                .machines
+                .last()
+                .map(|m| m.id.clone())
+                .unwrap_or_default();
             f.list_at = now;
         } else {
             f.list_after.clear();
@@ -431,7 +439,9 @@
                 let Some((kind, zone, spot)) = offer(spec, &types, &f.refused, &count) else {
                     break;
                 };
-                *orders.entry((kind.clone(), zone.clone(), spot)).or_default() += 1;
+                *orders
+                    .entry((kind.clone(), zone.clone(), spot))
+                    .or_default() += 1;
                 *count.entry(zone.clone()).or_default() += 1;
                 coming.extend(virtual_host(&kind, &zone, spot));
                 let before = left;
@@ -501,7 +511,8 @@
                 continue;
             };
             if w.is_over() && now.since(w.heard) > Micros::millis(5_000) {
-                l.fleet.leave(&name, "its worker is silent and its lease has run out");
+                l.fleet
+                    .leave(&name, "its worker is silent and its lease has run out");
                 continue;
             }
             let empty = free
@@ -533,7 +544,8 @@
                     && l.presumed(id, e, false)
                     && now.since(l.since) > Micros::secs(self.settings.params.workers.lease_s)
                 {
-                    l.fleet.leave(m, "a cancelled task cannot be confirmed gone");
+                    l.fleet
+                        .leave(m, "a cancelled task cannot be confirmed gone");
                 }
             }
         }
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -136,6 +136,7 @@
         let (id, spec) = match parse(body) {
             Ok(x) => x,
             Err(e @ (Malformed::NotMsgPack | Malformed::NotMap | Malformed::Field(_))) => {
+                log::debug!("submission refused: {e}");
                 self.refuse(conn, 400, &e.to_string());
                 return;
             }
@@ -224,8 +225,7 @@
             }
             self.front.batches += 1;
             let txn = Txn { conds, changes };
-            self.store
-                .ask(Rank::Usual, Tag::Accept(ids), Ask::Txn(txn));
+            self.store.ask(Rank::Usual, Tag::Accept(ids), Ask::Txn(txn));
         }
     }
 
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -185,7 +185,10 @@
                 None => first,
             };
             if end <= now {
-                log::info!("{name}: lease has run out, session {} is over", worker.session);
+                log::info!(
+                    "{name}: lease has run out, session {} is over",
+                    worker.session
+                );
                 worker.over = Some(worker.session);
                 self.dirty = true;
             } else {
@@ -247,8 +250,8 @@
             return;
         }
         l.fleet.met(name, report, clock.now);
-        let changed = before != (w.session, w.term, w.tasks.len(), w.notice.is_some())
-            || old != w.tasks;
+        let changed =
+            before != (w.session, w.term, w.tasks.len(), w.notice.is_some()) || old != w.tasks;
         if w.tasks.iter().all(|t| t.phase == Phase::Exited) {
             w.idle_since = w.idle_since.or(Some(clock.now));
         } else {
@@ -314,17 +317,14 @@
         let most = self.settings.params.state.txn_ops;
         loop {
             let Some(l) = &mut self.leader else { return };
-            let ready: Vec<String> = l
-                .edits
-                .keys()
-                .filter(|id| !l.flying(id))
-                .cloned()
-                .collect();
+            let ready: Vec<String> = l.edits.keys().filter(|id| !l.flying(id)).cloned().collect();
             let mut conds = vec![cond(LEAD, l.version)];
             let mut changes = Vec::new();
             let mut jobs = Vec::new();
             for id in ready {
-                let Some(edit) = l.edits.get(&id) else { continue };
+                let Some(edit) = l.edits.get(&id) else {
+                    continue;
+                };
                 let Some(job) = self.mirror.jobs.get(&id) else {
                     l.edits.remove(&id);
                     continue;
@@ -360,7 +360,11 @@
 
     /// Job records came back.
     pub fn on_edits(&mut self, clock: Clock, n: u64, ask: Ask, reply: Reply) {
-        if self.leader.as_ref().is_none_or(|l| !l.batches.contains_key(&n)) {
+        if self
+            .leader
+            .as_ref()
+            .is_none_or(|l| !l.batches.contains_key(&n))
+        {
             return;
         }
         match reply {
@@ -392,7 +396,9 @@
     pub fn settle_edits(&mut self, clock: Clock, n: u64) {
         let _ = clock;
         let Some(l) = &mut self.leader else { return };
-        let Some(batch) = l.batches.get(&n) else { return };
+        let Some(batch) = l.batches.get(&n) else {
+            return;
+        };
         let holds = l.version == batch.txn.conds[0].version
             && batch.jobs.iter().all(|(id, _)| {
                 let key = crate::protocol::records::job_key(id);
@@ -571,7 +577,9 @@
             }
             if spec.kind == Kind::Gang && !present.is_empty() && lost > 0 {
                 l.broken_gangs.insert(id.clone(), latest);
-                let whole = standing.iter().any(|(_, s)| *s == Standing::There(Phase::Saving));
+                let whole = standing
+                    .iter()
+                    .any(|(_, s)| *s == Standing::There(Phase::Saving));
                 for (task, _) in standing {
                     // Members that save on command are left to it.
                     if !whole {
@@ -629,7 +637,14 @@
         items.sort_by(|a, b| (a.0, a.1.id).cmp(&(b.0, b.1.id)));
         let items: Vec<Item<'_>> = items.into_iter().map(|(_, i)| i).collect();
         let mut rest = hosts.clone();
-        let plan = queue::pass(&items, &mut rest, &backfilled, &mut room, &mut l.b_max, PLACES);
+        let plan = queue::pass(
+            &items,
+            &mut rest,
+            &backfilled,
+            &mut room,
+            &mut l.b_max,
+            PLACES,
+        );
         log::debug!(
             "pass: {} jobs wait, {} starts, {} stops, {} lack room, {} machines",
             items.len(),
@@ -641,8 +656,11 @@
         if plan.places.len() >= PLACES {
             l.dirty = true;
         }
-        let lacks: Vec<(String, u32)> =
-            plan.lacks.iter().map(|k| (k.job.clone(), k.tasks)).collect();
+        let lacks: Vec<(String, u32)> = plan
+            .lacks
+            .iter()
+            .map(|k| (k.job.clone(), k.tasks))
+            .collect();
         for (id, task) in plan.stops {
             if let Some(job) = self.mirror.jobs.get(&id) {
                 log::info!("{id}/{task}: stopped, a gang ahead of it takes the room");
@@ -812,7 +830,10 @@
                     .or_insert_with(|| job.chunk_of(task).cloned().unwrap_or_default());
             }
         }
-        let of = |task: u32, rec: &mut JobRec, chunks: &mut BTreeMap<u32, Chunk>, f: &dyn Fn(&mut Chunk)| {
+        let of = |task: u32,
+                  rec: &mut JobRec,
+                  chunks: &mut BTreeMap<u32, Chunk>,
+                  f: &dyn Fn(&mut Chunk)| {
             match chunks.get_mut(&(task / CHUNK)) {
                 Some(c) => f(c),
                 None => f(&mut rec.first),
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -8,7 +8,9 @@
 use crate::bookkeeping::store::{Ask, Rank, Reply, Store};
 use crate::protocol::peer::Heartbeat;
 use crate::protocol::records::{LEAD, LIVE, LeadRec};
-use crate::protocol::wire::{Change, Cond, Misdirected, Problem, Report, Txn, decode, encode};
+use crate::protocol::wire::{
+    Change, Cond, Misdirected, Problem, Report, Txn, decode, encode, to_value,
+};
 use crate::protocol::{Micros, Settings};
 use crate::transport::{Call, NetCmd, NetEvent, Outcome};
 use rand::{RngExt, SeedableRng};
@@ -378,7 +380,12 @@
             (Tag::Cancel(id), reply) => self.on_cancelled(clock, id, ask, reply),
             (Tag::ClaimLease, Reply::Lease(l)) => {
                 self.lease = Some(l);
-                self.send_claim();
+                // Somebody else may have claimed while the lease was asked for.
+                if self.vacant(clock) {
+                    self.send_claim();
+                } else {
+                    self.claim = ClaimState::Idle;
+                }
             }
             (Tag::ClaimLease, _) => self.claim = ClaimState::Idle,
             (Tag::Claim, Reply::Committed(rev)) => {
@@ -552,8 +559,7 @@
             if at <= now {
                 self.load_at = None;
                 let after = self.load_after.clone();
-                self.store
-                    .ask(Rank::First, Tag::Load, Ask::List { after });
+                self.store.ask(Rank::First, Tag::Load, Ask::List { after });
             } else {
                 next = next.min(at);
             }
@@ -660,21 +666,31 @@
             .all(|(_, (_, silent))| silent.is_none_or(|ms| ms * 1000 >= LEADER_SILENT.0))
     }
 
+    /// The leader on record is an earlier run of our own process.
+    fn own_past(&self) -> bool {
+        self.mirror
+            .lead
+            .as_ref()
+            .is_some_and(|(l, _)| l.node == self.settings.node && l.inc != self.inc)
+    }
+
+    /// Nobody seems to lead.
+    fn vacant(&self, clock: Clock) -> bool {
+        match &self.mirror.lead {
+            Some((l, _)) => {
+                self.own_past() || self.mirror.live.is_none() || self.leader_lost(clock, &l.node)
+            }
+            None => true,
+        }
+    }
+
     fn candidacy(&mut self, clock: Clock) -> Micros {
         if self.leader.is_some() || !self.mirror.synced {
             return Micros::FAR;
         }
-        let own_past = self
-            .mirror
-            .lead
-            .as_ref()
-            .is_some_and(|(l, _)| l.node == self.settings.node && l.inc != self.inc);
-        let lost = match &self.mirror.lead {
-            Some((l, _)) => self.mirror.live.is_none() || self.leader_lost(clock, &l.node),
-            None => true,
-        };
+        let own_past = self.own_past();
         match self.claim {
-            ClaimState::Idle if own_past || lost => {
+            ClaimState::Idle if self.vacant(clock) => {
                 // A little apart, so that not all claim at once.
                 let apart = if own_past {
                     0
@@ -689,7 +705,7 @@
                 at
             }
             ClaimState::Waiting(at) if at <= clock.now => {
-                if own_past || lost {
+                if self.vacant(clock) {
                     self.claim = ClaimState::Asking;
                     self.store
                         .ask(Rank::First, Tag::ClaimLease, Ask::NewLease(LEAD_TTL));
@@ -762,9 +778,3 @@
         lease,
     }
 }
-
-/// As a generic value with named maps.
-fn to_value<T: serde::Serialize>(v: &T) -> rmpv::Value {
-    // Through bytes, since rmpv's own serializer writes structs as lists.
-    rmpv::decode::read_value(&mut encode(v).as_slice()).unwrap_or(rmpv::Value::Nil)
-}
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -129,7 +129,10 @@
     {
         return Some(vec![*i; n as usize]);
     }
-    let mut zones: Vec<&str> = order.iter().map(|(i, _, _)| hosts[*i].zone.as_str()).collect();
+    let mut zones: Vec<&str> = order
+        .iter()
+        .map(|(i, _, _)| hosts[*i].zone.as_str())
+        .collect();
     zones.sort_unstable();
     zones.dedup();
     let fill = |zone: Option<&str>| {
--- a/src/coordination/policy.rs
+++ b/src/coordination/policy.rs
@@ -96,7 +96,9 @@
         }
         lua.set_hook(
             HookTriggers::new().every_nth_instruction(MOST_INSTRUCTIONS),
-            |_, _| -> mlua::Result<VmState> { Err(mlua::Error::runtime("the script runs too long")) },
+            |_, _| -> mlua::Result<VmState> {
+                Err(mlua::Error::runtime("the script runs too long"))
+            },
         )
         .map_err(script)?;
         let table: Table = lua.load(text).set_name(file).eval().map_err(script)?;
@@ -153,7 +155,10 @@
             ("return load('return {}')()", "load"),
             ("return (", "p.lua"),
             ("return 3", "p.lua"),
-            ("local t = {} for i = 1, 1e9 do t[i] = i end return t", "p.lua"),
+            (
+                "local t = {} for i = 1, 1e9 do t[i] = i end return t",
+                "p.lua",
+            ),
         ] {
             let e = Policy::parse("p.lua", text).unwrap_err().to_string();
             assert!(e.contains(word), "{text}: {e}");
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -74,10 +74,7 @@
     let Some([cpus, gpus]) = room.get(&spec.team) else {
         return u32::MAX;
     };
-    slots(
-        &[*cpus, *gpus, f64::INFINITY],
-        &[spec.cpus, spec.gpus, 0.0],
-    )
+    slots(&[*cpus, *gpus, f64::INFINITY], &[spec.cpus, spec.gpus, 0.0])
 }
 
 fn take(host: &mut Host, room: &mut Room, spec: &Spec) {
@@ -118,7 +115,14 @@
             continue;
         }
         let before = plan.places.len();
-        let short = start(item, hosts, room, demand / b_max.max(1e-9), false, &mut plan);
+        let short = start(
+            item,
+            hosts,
+            room,
+            demand / b_max.max(1e-9),
+            false,
+            &mut plan,
+        );
         if short == 0 {
             continue;
         }
@@ -189,9 +193,8 @@
             (!spec.one_zone || present.iter().all(|(z, _)| *z == h.zone))
                 && (!spec.spread || in_zone(&h.zone) < half)
         };
-        let apart = |h: &Host| {
-            spec.kind != Kind::Service || present.iter().all(|(_, m)| *m != h.name)
-        };
+        let apart =
+            |h: &Host| spec.kind != Kind::Service || present.iter().all(|(_, m)| *m != h.name);
         let found = placement::single(hosts, spec, ratio, |_, h| fits(h) && apart(h))
             .or_else(|| placement::single(hosts, spec, ratio, |_, h| fits(h)));
         let Some(host) = found else {
--- a/src/coordination/tasks.rs
+++ b/src/coordination/tasks.rs
@@ -5,9 +5,9 @@
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::store::{Ask, Rank};
 use crate::bookkeeping::workers::{Standing, Start};
+use crate::protocol::Micros;
 use crate::protocol::records::{LEAD, LeadRec};
 use crate::protocol::wire::{Command, Orders, Phase, Report, Txn, Why, decode, encode};
-use crate::protocol::Micros;
 use crate::transport::Outcome;
 
 /// Starts are sent only this soon after a proof that our term holds.
@@ -58,9 +58,9 @@
                 && job.is_some_and(|j| !j.is_done(t.task) && t.task < j.rec.spec.tasks);
             // An attempt whose start may still arrive must stay known to the worker, or the
             // late start would run it again.
+            let needed = unrecorded || (placed && active);
             if with_forgets
-                && !unrecorded
-                && !(placed && active)
+                && !needed
                 && !w.has_loose(&t.job, t.task, t.attempt)
                 && (job.is_some() || mirror.job(&t.job).is_some())
             {
--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -13,6 +13,19 @@
     rmp_serde::from_slice(b).ok()
 }
 
+/// A generic value as one of our types. Through bytes: `rmpv`'s own conversion takes no enum
+/// from a string.
+pub fn from_value<T: DeserializeOwned>(v: &rmpv::Value) -> Option<T> {
+    let mut bytes = Vec::with_capacity(256);
+    rmpv::encode::write_value(&mut bytes, v).ok()?;
+    decode(&bytes)
+}
+
+/// One of our types as a generic value, with named maps.
+pub fn to_value<T: Serialize>(v: &T) -> rmpv::Value {
+    rmpv::decode::read_value(&mut encode(v).as_slice()).unwrap_or(rmpv::Value::Nil)
+}
+
 /// State of a task on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
--- a/src/transport/net.rs
+++ b/src/transport/net.rs
@@ -231,15 +231,15 @@
     }
 
     fn drop_one_idle(&mut self) -> bool {
-        let idle = self
-            .due
-            .iter()
-            .map(|(_, t)| *t)
-            .find(|t| match self.conns.get(t).map(|c| &c.role) {
-                Some(Role::Server { busy, .. }) => !busy,
-                Some(Role::Client { call, .. }) => call.is_none(),
-                None => false,
-            });
+        let idle =
+            self.due
+                .iter()
+                .map(|(_, t)| *t)
+                .find(|t| match self.conns.get(t).map(|c| &c.role) {
+                    Some(Role::Server { busy, .. }) => !busy,
+                    Some(Role::Client { call, .. }) => call.is_none(),
+                    None => false,
+                });
         idle.map(|t| self.close(t, Outcome::Lost)).is_some()
     }
 
@@ -258,7 +258,11 @@
         } else {
             Interest::READABLE
         };
-        if let Err(e) = self.poll.registry().register(&mut stream, Token(t), interest) {
+        if let Err(e) = self
+            .poll
+            .registry()
+            .register(&mut stream, Token(t), interest)
+        {
             log::warn!("network: cannot register a socket: {e}");
             return None;
         }
