--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -34,7 +34,7 @@
     zone: String,
     spot: bool,
     rented: Micros,
-    listed: Option<Micros>,
+    running: bool,
     met: bool,
     leaving: bool,
     deleting: bool,
@@ -117,7 +117,7 @@
                 zone: r.zone.clone(),
                 spot: r.spot,
                 rented: now,
-                listed: None,
+                running: false,
                 met: true,
                 leaving: false,
                 deleting: false,
@@ -285,7 +285,7 @@
                             zone: r.zone.clone(),
                             spot: r.spot,
                             rented: now,
-                            listed: None,
+                            running: false,
                             met: false,
                             leaving: false,
                             deleting: false,
@@ -368,13 +368,13 @@
                 zone: m.zone,
                 spot: m.spot,
                 rented: now - Micros::secs(m.age_s),
-                listed: None,
+                running: false,
                 met: false,
                 leaving: false,
                 deleting: false,
                 failed: false,
             });
-            known.listed = Some(now);
+            known.running = m.state == MachineState::Running;
             if m.state == MachineState::Failed && !known.failed {
                 log::info!("{}: listed as failed", m.id);
                 known.failed = true;
@@ -487,6 +487,7 @@
         let Some(l) = &mut self.leader else { return };
         let free: HashMap<&str, &Host> = rest.iter().map(|h| (h.name.as_str(), h)).collect();
         let names: Vec<String> = l.fleet.machines.keys().cloned().collect();
+        let learning = Micros::secs(self.settings.params.workers.cancel_s * 1.2);
         let mut idle = 0usize;
         for name in names {
             let Some(m) = l.fleet.machines.get(&name) else {
@@ -501,8 +502,10 @@
                 .map_or(Micros::millis(120_000), |t| Micros::secs(t.boot_s));
             if !m.met {
                 let patience = boot.times(self.policy.boot_patience);
-                // A new leader has to learn first who is there.
-                if now.since(m.rented) > patience && now.since(l.since) > lag {
+                // A machine that is up may report to an older leader for a while: a new leader
+                // has to learn first who is there.
+                let learnt = if m.running { learning } else { lag };
+                if now.since(m.rented) > patience && now.since(l.since) > learnt {
                     l.fleet.leave(&name, "it does not come up");
                 }
                 continue;
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -75,6 +75,8 @@
     pub orders_dirty: bool,
     /// The copy's generation that was last seen.
     pub generation: u64,
+    /// The leases of all machines that never reported to us have run out in the worst case.
+    pub strangers_over: bool,
     /// When to look for due commands again.
     pub orders_at: Micros,
     placed: HashMap<String, Vec<(String, u32, u64, u64)>>,
@@ -114,6 +116,7 @@
             dirty: true,
             orders_dirty: true,
             generation: 0,
+            strangers_over: false,
             orders_at: Micros::ZERO,
             placed: HashMap::new(),
             placed_at: None,
@@ -134,6 +137,8 @@
         }
         match self.workers.get(machine) {
             Some(w) => w.standing(self.term, job, e.task(), e.attempt(), e.session()),
+            // Nobody has met it under our term, and nobody can still be renewing its lease.
+            None if self.strangers_over => Standing::Gone,
             None => Standing::Unclear,
         }
     }
@@ -174,6 +179,14 @@
         let lease = Micros::secs(w.lease_s * 1.002 + 0.3);
         let first = self.since + Micros::secs(w.cancel_s * 1.002 + 0.3);
         let mut next = Micros::FAR;
+        if !self.strangers_over {
+            if first <= now {
+                self.strangers_over = true;
+                self.dirty = true;
+            } else {
+                next = first;
+            }
+        }
         for (name, worker) in &mut self.workers {
             if worker.is_over() {
                 continue;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -134,6 +134,8 @@
     heartbeat_flying: Vec<bool>,
     leader_heard: Option<(String, Micros)>,
     sibling_view: HashMap<String, (Micros, Option<u64>)>,
+    /// Highest term that anybody has shown us; below it we never lead, whatever an old copy says.
+    highest: u64,
 }
 
 impl Node {
@@ -170,6 +172,7 @@
             heartbeat_flying: vec![false; siblings],
             leader_heard: None,
             sibling_view: HashMap::new(),
+            highest: 0,
         }
     }
 
@@ -296,6 +299,7 @@
             && report.term > leader.term
         {
             // Somebody has led after us.
+            self.highest = self.highest.max(report.term);
             self.stand_down("a worker has seen a higher term");
             let none = Misdirected::default();
             self.respond(conn, 421, &none);
@@ -514,6 +518,7 @@
             .lead
             .as_ref()
             .filter(|(l, _)| l.node == self.settings.node && l.inc == self.inc)
+            .filter(|(l, _)| l.term >= self.highest)
             .map(|(l, v)| (l.term, *v));
         match (ours, &mut self.leader) {
             (None, Some(_)) => self.stand_down("another controller leads"),
@@ -644,6 +649,13 @@
     }
 
     fn on_heartbeat(&mut self, clock: Clock, h: Heartbeat) {
+        self.highest = self.highest.max(h.leading.unwrap_or(0));
+        if let (Some(theirs), Some(l)) = (h.leading, &self.leader)
+            && theirs > l.term
+        {
+            // Cut off from the store, we would learn it late; the workers should not wait.
+            self.stand_down("another controller leads with a higher term");
+        }
         if h.leading.is_some() {
             self.leader_heard = Some((h.node.clone(), clock.now));
         }
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,433 @@
+//! Short stories about failures, against a world in memory whose checker asserts the rules of
+//! PROTOCOL after every step.
+
+mod world;
+
+use rand::RngExt;
+use walnuttrestle::protocol::Kind;
+use walnuttrestle::protocol::wire::Phase;
+use world::{Cut, LEASE_S, Party, SEC, World, job};
+
+/// `LOG_LEVEL=debug cargo test -- --nocapture NAME` shows what the controllers log.
+fn settled(seed: u64, machines: usize) -> World {
+    let _ = env_logger::Builder::from_env(env_logger::Env::default().filter("LOG_LEVEL"))
+        .is_test(true)
+        .try_init();
+    let mut w = World::new(seed, 3, machines);
+    w.run(8);
+    assert!(w.leader().is_some(), "nobody leads");
+    w
+}
+
+#[test]
+fn a_quiet_day_runs_everything() {
+    let mut w = settled(1, 4);
+    w.user("req-1", job(Kind::Array, 5, 1.0), 6 * SEC);
+    w.user("req-2", job(Kind::Gang, 3, 4.0), 6 * SEC);
+    w.user("req-3", job(Kind::Service, 2, 1.0), 0);
+    w.run(60);
+    assert!(w.job_done("req-1") && w.job_done("req-2"));
+    assert_eq!(w.told("req-3"), "running");
+    assert_eq!(w.starts["req-2/0"], 1, "a gang starts once");
+}
+
+#[test]
+fn a_large_array_spans_several_records() {
+    let mut w = settled(2, 6);
+    w.user("req-1", job(Kind::Array, 130, 1.0), 2 * SEC);
+    w.run(120);
+    assert!(w.job_done("req-1"));
+    assert!((0..130).all(|t| w.starts[&format!("req-1/{t}")] == 1));
+}
+
+#[test]
+fn a_start_whose_answer_is_lost_and_that_comes_late_runs_once() {
+    let mut w = settled(3, 3);
+    // Commands take longer than the leader waits for them.
+    w.delay_orders = Some(4 * SEC);
+    w.user("req-1", job(Kind::Array, 3, 1.0), 20 * SEC);
+    w.run(12);
+    w.delay_orders = None;
+    w.run(60);
+    assert!(w.job_done("req-1"));
+    assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
+}
+
+#[test]
+fn a_start_held_back_is_not_run_after_its_job_was_cancelled() {
+    let mut w = settled(4, 2);
+    let l = w.leader().unwrap();
+    for m in ["n-000001", "n-000002"] {
+        w.cut(Party::Node(l), Party::Worker(m.into()), Cut::Hold, 6 * SEC);
+    }
+    w.user("req-1", job(Kind::Array, 2, 1.0), 300 * SEC);
+    w.run(2);
+    w.cancel_surely("req-1");
+    w.run(90);
+    assert_eq!(w.told("req-1"), "cancelled");
+    assert!(w.on("req-1/0").is_empty());
+}
+
+#[test]
+fn a_leader_cut_from_the_store_alone_is_replaced() {
+    let mut w = settled(5, 4);
+    w.user("req-1", job(Kind::Service, 3, 1.0), 0);
+    w.run(10);
+    let (l, term) = (w.leader().unwrap(), w.term());
+    w.store.refuses.push(l);
+    w.run(20);
+    assert!(w.term() > term);
+    assert_ne!(w.leader(), Some(l));
+    w.store.refuses.clear();
+    w.run(20);
+    assert_eq!(w.starts.values().max(), Some(&1), "replicas stayed up");
+}
+
+#[test]
+fn an_old_leader_in_a_cut_zone_does_not_keep_cancelled_tasks() {
+    let mut w = settled(6, 4);
+    w.user("req-1", job(Kind::Service, 4, 1.0), 0);
+    w.run(12);
+    let l = w.leader().unwrap();
+    // The leader and the machines of its zone are cut off from all others, and live on inside.
+    let inside: Vec<String> = w
+        .workers
+        .values()
+        .filter(|x| x.zone == if l % 2 == 0 { "a" } else { "b" })
+        .map(|x| x.name.clone())
+        .collect();
+    for i in (0..3).filter(|i| *i != l) {
+        w.cut(Party::Node(l), Party::Node(i), Cut::Hold, 70 * SEC);
+        for m in &inside {
+            w.cut(
+                Party::Node(i),
+                Party::Worker(m.clone()),
+                Cut::Hold,
+                70 * SEC,
+            );
+        }
+    }
+    w.cut(Party::Node(l), Party::Store, Cut::Hold, 70 * SEC);
+    w.cut(Party::Node(l), Party::Cloud, Cut::Hold, 70 * SEC);
+    w.cloud_down = true;
+    w.run(6);
+    w.cancel_surely("req-1");
+    w.run(120);
+    assert_eq!(w.told("req-1"), "cancelled");
+}
+
+#[test]
+fn a_takeover_waits_for_a_hung_machine() {
+    let mut w = settled(7, 2);
+    w.user("req-1", job(Kind::Service, 1, 1.0), 0);
+    w.run(8);
+    let m = w.on("req-1/0").into_iter().next().unwrap();
+    let until = w.now + 9 * SEC;
+    w.workers.get_mut(&m).unwrap().hung_until = until;
+    let l = w.leader().unwrap();
+    w.crash(l, 5 * SEC);
+    w.run(60);
+    assert_eq!(w.on("req-1/0").len(), 1, "the replica is back");
+}
+
+#[test]
+fn cancelled_on_one_controller_is_cancelled_on_all() {
+    let mut w = settled(8, 2);
+    w.user("req-1", job(Kind::Array, 2, 1.0), 100 * SEC);
+    w.run(6);
+    w.cancel(0, "req-1");
+    w.run(1);
+    for i in 0..w.nodes() {
+        w.poll(i, "req-1");
+    }
+    w.run(2);
+    let n = w.said.iter().filter(|s| s.3 == "cancelled").count();
+    assert!(n >= 4, "{:?}", w.said);
+    w.run(30);
+    assert!(w.on("req-1/0").is_empty());
+}
+
+#[test]
+fn cancel_races_with_the_end_and_one_of_them_stands() {
+    for seed in 20..28 {
+        let mut w = settled(seed, 2);
+        w.user("req-1", job(Kind::Array, 1, 1.0), 4 * SEC);
+        let dt = w.rng.random_range(5_500_000..8_500_000);
+        w.after(dt, |w| w.cancel_surely("req-1"));
+        w.run(40);
+        for i in 0..w.nodes() {
+            w.poll(i, "req-1");
+        }
+        w.run(2);
+        assert!(["done", "cancelled"].contains(&w.told("req-1").as_str()));
+    }
+}
+
+#[test]
+fn all_controllers_restart_and_tasks_go_on() {
+    let mut w = settled(9, 4);
+    w.user("req-1", job(Kind::Array, 4, 2.0), 25 * SEC);
+    w.user("req-2", job(Kind::Gang, 2, 8.0), 25 * SEC);
+    w.run(10);
+    for i in 0..3 {
+        w.crash(i, 4 * SEC);
+    }
+    w.run(80);
+    assert!(w.job_done("req-1") && w.job_done("req-2"));
+    assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
+}
+
+#[test]
+fn a_store_outage_across_a_crash_loses_no_accepted_job() {
+    let mut w = settled(10, 3);
+    w.user("req-1", job(Kind::Array, 3, 1.0), 8 * SEC);
+    w.run(2);
+    w.store.outage = true;
+    let l = w.leader().unwrap();
+    w.crash(l, 5 * SEC);
+    w.user("req-2", job(Kind::Array, 1, 1.0), 3 * SEC);
+    w.run(15);
+    let now = w.now;
+    w.store.end_outage(now);
+    w.run(90);
+    assert!(w.job_done("req-1") && w.job_done("req-2"));
+}
+
+#[test]
+fn a_short_store_outage_kills_nothing() {
+    let mut w = settled(11, 3);
+    w.user("req-1", job(Kind::Service, 3, 1.0), 0);
+    w.run(10);
+    w.store.outage = true;
+    w.run(14);
+    let now = w.now;
+    w.store.end_outage(now);
+    w.run(20);
+    assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
+}
+
+#[test]
+fn a_gang_that_loses_a_member_starts_anew_as_a_whole() {
+    let mut w = settled(12, 4);
+    w.user("req-1", job(Kind::Gang, 2, 8.0), 30 * SEC);
+    w.run(10);
+    let m = w.on("req-1/1").into_iter().next().unwrap();
+    w.workers.get_mut(&m).unwrap().alive = false;
+    w.run(120);
+    assert!(w.job_done("req-1"));
+    assert_eq!(w.starts["req-1/0"], 2);
+}
+
+#[test]
+fn a_team_stays_within_its_limit_while_a_machine_cannot_be_reached() {
+    let mut w = settled(13, 4);
+    let spec = walnuttrestle::protocol::Spec {
+        team: "red".into(),
+        ..job(Kind::Array, 12, 2.0)
+    };
+    w.user("req-1", spec, 12 * SEC);
+    w.run(6);
+    let m = w.on("req-1/0").into_iter().next().unwrap();
+    for i in 0..3 {
+        w.cut(
+            Party::Node(i),
+            Party::Worker(m.clone()),
+            Cut::Hold,
+            LEASE_S * SEC - SEC,
+        );
+    }
+    w.run(120);
+    assert!(w.job_done("req-1"));
+}
+
+#[test]
+fn a_gang_ahead_takes_the_room_of_backfilled_tasks_and_they_save() {
+    let mut w = settled(14, 2);
+    w.cloud_down = true;
+    // One machine is full for a while, so the gang must wait, and small ones pass it.
+    w.user("req-1", job(Kind::Array, 8, 1.0), 25 * SEC);
+    w.run(4);
+    let mut wide = job(Kind::Gang, 2, 8.0);
+    wide.one_zone = false;
+    w.user("req-2", wide, 5 * SEC);
+    w.run(2);
+    let mut small = job(Kind::Array, 4, 1.0);
+    small.checkpoint_s = 5.0;
+    small.save_s = 2.0;
+    w.user("req-3", small, 60 * SEC);
+    w.run(60);
+    assert!(w.starts.contains_key("req-3/0"), "was backfilled");
+    assert!(
+        w.starts.contains_key("req-2/0") || w.job_done("req-2"),
+        "the gang got room"
+    );
+    w.run(200);
+    assert!(w.job_done("req-1") && w.job_done("req-2") && w.job_done("req-3"));
+}
+
+#[test]
+fn a_machine_that_fails_every_task_is_set_aside() {
+    let mut w = settled(15, 3);
+    w.workers.get_mut("n-000001").unwrap().errors = true;
+    for i in 0..6 {
+        w.user(&format!("req-{i}"), job(Kind::Array, 2, 2.0), 4 * SEC);
+    }
+    w.run(120);
+    assert!((0..6).all(|i| w.job_done(&format!("req-{i}"))));
+    assert!(w.deleted.contains("n-000001"));
+}
+
+#[test]
+fn nobody_invents_or_forgets_a_job() {
+    let mut w = settled(16, 1);
+    w.poll(0, "req-99");
+    w.poll(1, "nonsense");
+    w.run(1);
+    assert!(w.said.iter().all(|s| s.2 == 404), "{:?}", w.said);
+    w.user("req-1", job(Kind::Array, 1, 1.0), 2 * SEC);
+    w.run(20);
+    w.submit_once(2, "req-1");
+    w.run(1);
+    let last = w.said.last().unwrap();
+    assert_eq!((last.2, last.3.as_str()), (200, "done"));
+}
+
+#[test]
+fn while_the_store_is_silent_polls_are_refused_at_once_and_ends_are_still_told() {
+    let mut w = settled(17, 2);
+    w.user("req-1", job(Kind::Array, 1, 1.0), 2 * SEC);
+    w.declare("req-2", job(Kind::Service, 1, 1.0), 0);
+    w.submit_once(0, "req-2");
+    w.run(20);
+    w.store.outage = true;
+    let from = w.said.len();
+    w.poll(1, "req-1");
+    w.poll(1, "req-2");
+    w.run(1);
+    let said: Vec<(u16, &str)> = w.said[from..].iter().map(|s| (s.2, s.3.as_str())).collect();
+    assert!(
+        said.contains(&(200, "done")) && said.contains(&(503, "")),
+        "{said:?}"
+    );
+}
+
+#[test]
+fn a_spot_notice_moves_nothing_onto_the_machine_and_work_goes_on() {
+    let mut w = World::new(18, 3, 1);
+    let m = w.machine("b", true);
+    w.run(8);
+    let mut spec = job(Kind::Array, 10, 1.0);
+    spec.spot = true;
+    spec.checkpoint_s = 5.0;
+    spec.save_s = 2.0;
+    w.user("req-1", spec, 20 * SEC);
+    w.run(6);
+    w.workers.get_mut(&m).unwrap().notice = Some(10.0);
+    w.after(10 * SEC, move |w| {
+        w.workers.get_mut(&m).unwrap().alive = false
+    });
+    w.run(120);
+    assert!(w.job_done("req-1"));
+}
+
+/// Luck of many kinds at once; every seed is a day of its own, and always the same one.
+#[test]
+fn overlapping_troubles_break_no_rule() {
+    for seed in 100..140 {
+        let mut w = settled(seed, 5);
+        for i in 0..14 {
+            let at = w.rng.random_range(0..60 * SEC);
+            let (kind, n) = match i % 4 {
+                0 => (Kind::Service, w.rng.random_range(1..3)),
+                1 => (Kind::Gang, w.rng.random_range(1..4)),
+                _ => (Kind::Array, w.rng.random_range(1..6)),
+            };
+            let mut spec = job(kind, n, [1.0, 2.0, 8.0][w.rng.random_range(0..3usize)]);
+            // A service would keep its team's limit used up for good.
+            let red = kind != Kind::Service && w.rng.random_bool(0.4);
+            spec.team = if red { "red" } else { "blue" }.into();
+            spec.spread = kind != Kind::Gang && w.rng.random_bool(0.3);
+            if spec.team == "red" && kind != Kind::Array && spec.gpus * n as f64 > 12.0 {
+                spec.gpus = 2.0;
+                spec.cpus = 2.0;
+            }
+            if w.rng.random_bool(0.5) && kind != Kind::Service {
+                spec.checkpoint_s = 4.0;
+                spec.save_s = 2.0;
+            }
+            let run = w.rng.random_range(2..30) * SEC;
+            let cancel = w
+                .rng
+                .random_bool(0.3)
+                .then(|| w.rng.random_range(SEC..40 * SEC));
+            w.after(at, move |w| {
+                let id = format!("req-{i}");
+                w.user(&id, spec, run);
+                if let Some(c) = cancel {
+                    w.after(c, move |w| w.cancel_surely(&id));
+                }
+            });
+        }
+        for _ in 0..7 {
+            let at = w.rng.random_range(0..90 * SEC);
+            let what = w.rng.random_range(0..8);
+            let dt = w.rng.random_range(2..30) * SEC;
+            let i = w.rng.random_range(0..3usize);
+            let k = w.rng.random_range(1..8u32);
+            w.after(at, move |w| {
+                let m = format!("n-{k:06}");
+                match what {
+                    0 => w.crash(i, 4 * SEC),
+                    1 => (0..3).for_each(|i| w.crash(i, 4 * SEC)),
+                    2 => {
+                        w.store.outage = true;
+                        w.after(dt, |w| {
+                            let now = w.now;
+                            w.store.end_outage(now);
+                        });
+                    }
+                    3 => w.cut(Party::Node(i), Party::Store, Cut::Hold, dt),
+                    4 => (0..3).for_each(|i| {
+                        w.cut(Party::Node(i), Party::Worker(m.clone()), Cut::Hold, dt);
+                    }),
+                    5 => {
+                        let until = w.now + dt;
+                        if let Some(x) = w.workers.get_mut(&m) {
+                            x.hung_until = until;
+                        }
+                    }
+                    6 => {
+                        if let Some(x) = w.workers.get_mut(&m) {
+                            x.alive = false;
+                        }
+                    }
+                    _ => {
+                        w.delay_orders = Some(dt.min(5 * SEC));
+                        w.after(dt, |w| w.delay_orders = None);
+                    }
+                }
+            });
+        }
+        w.run(400);
+        for (id, t) in &w.jobs {
+            if t.spec.kind != Kind::Service {
+                let over = t.told_done.is_some() || t.told_cancelled.is_some();
+                assert!(over, "seed {seed}: {id} never ended\n{}", w.dump());
+            } else if t.told_cancelled.is_none() {
+                let up = w
+                    .workers
+                    .values()
+                    .flat_map(|x| x.holds())
+                    .filter(|((n, _), s)| {
+                        n.starts_with(&format!("{id}/")) && s.phase == Phase::Running
+                    })
+                    .count();
+                assert!(
+                    up as u32 == t.spec.tasks,
+                    "seed {seed}: {id}: {up} up\n{}",
+                    w.dump()
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/worker.rs
@@ -0,0 +1,106 @@
+//! An in-memory worker: sessions, leases, tokens and tasks as PROTOCOL describes them.
+
+use std::collections::BTreeMap;
+use walnuttrestle::protocol::wire::*;
+
+pub type Key = (String, u64);
+
+#[derive(Debug, Clone)]
+pub struct Task {
+    pub phase: Phase,
+    pub why: Option<Why>,
+    pub saved: bool,
+    /// When the present phase ends by itself.
+    pub until: u64,
+}
+
+pub struct FakeWorker {
+    pub name: String,
+    pub zone: String,
+    pub spot: bool,
+    pub index: usize,
+    pub alive: bool,
+    pub hung_until: u64,
+    pub session: u64,
+    pub seq: u64,
+    pub term: u64,
+    pub notice: Option<f64>,
+    pub tasks: BTreeMap<Key, Task>,
+    pub node: usize,
+    pub lease_from: u64,
+    pub report_at: u64,
+    pub flying: Option<(u64, u64, u64)>,
+    pub errors: bool,
+}
+
+impl FakeWorker {
+    pub fn new(name: &str, zone: &str, index: usize, now: u64) -> FakeWorker {
+        FakeWorker {
+            name: name.into(),
+            zone: zone.into(),
+            spot: false,
+            index,
+            alive: true,
+            hung_until: 0,
+            session: 1,
+            seq: 0,
+            term: 0,
+            notice: None,
+            tasks: BTreeMap::new(),
+            node: 0,
+            lease_from: now,
+            report_at: now,
+            flying: None,
+            errors: false,
+        }
+    }
+
+    pub fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.name.clone(),
+            address: format!("10.1.0.{}:9000", self.index),
+            kind: "box".into(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            term: self.term,
+            notice_s: self.notice,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|((task, attempt), t)| TaskReport {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    phase: t.phase,
+                    why: t.why,
+                    saved: t.saved.then_some(true),
+                })
+                .collect(),
+        }
+    }
+
+    /// On the machine: has its image and has not exited.
+    pub fn holds(&self) -> impl Iterator<Item = (&Key, &Task)> {
+        let alive = self.alive;
+        self.tasks
+            .iter()
+            .filter(move |(_, t)| alive && !matches!(t.phase, Phase::Exited | Phase::Fetching))
+    }
+
+    pub fn exit(&mut self, key: &Key, why: Why, saved: bool) {
+        if let Some(t) = self.tasks.get_mut(key) {
+            t.phase = Phase::Exited;
+            t.why = Some(why);
+            t.saved = saved;
+            self.report_at = 0;
+        }
+    }
+
+    pub fn kill_all(&mut self) {
+        self.tasks.clear();
+        self.session += 1;
+        self.report_at = 0;
+    }
+}
