--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -815,8 +815,8 @@
     /// Gangs: start together, fail together.
     fn gangs(&mut self) {
         let now = self.now;
-        let mut members: BTreeMap<(String, u64), Vec<(String, worker::Key, Phase)>> =
-            BTreeMap::new();
+        type Member = (String, worker::Key, Phase);
+        let mut members: BTreeMap<(String, u64), Vec<Member>> = BTreeMap::new();
         for w in self.workers.values() {
             for (k, t) in w.holds() {
                 let id = k.0.rsplit_once('/').unwrap().0.to_string();
