--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -1,7 +1,8 @@
 //! A copy of our records in the state service, fed by listings, watches and own commits.
 
 use crate::protocol::records::{
-    CHUNK, CHUNKS, Chunk, Entry, JOBS, JobRec, LEAD, LIVE, LeadRec, Stage, TYPES,
+    CHUNK, CHUNKS, Chunk, Entry, JOBS, JobRec, LEAD, LIVE, LeadRec, RENEWALS, RenewRec, Stage,
+    TYPES,
 };
 use crate::protocol::wire::{ItemPage, MachineType, MachineTypes, WatchAnswer, from_value};
 use rmpv::Value;
@@ -90,6 +91,8 @@
     pub types: Option<Vec<MachineType>>,
     /// Jobs that matter.
     pub jobs: BTreeMap<String, Job>,
+    /// What followers renew, by node, with the record's version.
+    pub renewals: HashMap<String, (RenewRec, u64)>,
     over: HashMap<String, Final>,
     orphans: HashMap<String, BTreeMap<u32, (Chunk, u64)>>,
     /// Keys met during a rereading, to find those deleted meanwhile.
@@ -107,6 +110,13 @@
         self.jobs.get(id).map(Known::Live)
     }
 
+    /// Whether a follower renews this machine's lease for the leader with this term.
+    pub fn renewed(&self, term: u64, machine: &str) -> bool {
+        self.renewals
+            .values()
+            .any(|(r, _)| r.term == term && r.machines.iter().any(|m| m == machine))
+    }
+
     /// Applies a watch's answer.
     pub fn apply(&mut self, answer: WatchAnswer) {
         for e in answer.events {
@@ -142,6 +152,7 @@
                 .jobs
                 .keys()
                 .map(|id| format!("{JOBS}{id}"))
+                .chain(self.renewals.keys().map(|n| format!("{RENEWALS}{n}")))
                 .chain([LEAD.to_string(), LIVE.to_string()])
                 .filter(|k| !met.contains(k))
                 .collect();
@@ -169,6 +180,12 @@
             if let Some(t) = from_value::<MachineTypes>(&value) {
                 self.types = Some(t.types);
             }
+        } else if let Some(node) = key.strip_prefix(RENEWALS) {
+            if self.renewals.get(node).is_none_or(|(_, v)| *v < version)
+                && let Some(rec) = from_value::<RenewRec>(&value)
+            {
+                self.renewals.insert(node.to_string(), (rec, version));
+            }
         } else if let Some(id) = key.strip_prefix(JOBS) {
             match from_value::<JobRec>(&value) {
                 Some(rec) => self.put_job(id, rec, version),
@@ -242,6 +259,10 @@
             self.live = self.live.filter(|v| *v > version);
         } else if key == LEAD {
             self.lead = self.lead.take().filter(|(_, v)| *v > version);
+        } else if let Some(node) = key.strip_prefix(RENEWALS) {
+            if self.renewals.get(node).is_some_and(|(_, v)| *v < version) {
+                self.renewals.remove(node);
+            }
         } else if let Some(id) = key.strip_prefix(JOBS)
             && self.jobs.get(id).is_some_and(|j| j.version < version)
         {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -389,6 +389,7 @@
         let now = clock.now;
         let types: Vec<MachineType> = self.mirror.types.clone().unwrap_or_default();
         let lag = Micros::secs(self.settings.params.cloud.list_lag_s * 3.0);
+        let silent_zones = self.silent_zones(clock);
         self.give_up(clock, rest, &types, lag, !lacks.is_empty());
         let Some(l) = &mut self.leader else { return };
         let f = &mut l.fleet;
@@ -411,9 +412,11 @@
                 images: Vec::new(),
             })
         };
-        for m in f.machines.values().filter(|m| !m.failed) {
+        for (name, m) in f.machines.iter().filter(|(_, m)| !m.failed) {
             *count.entry(m.zone.clone()).or_default() += 1;
-            if !m.met && !m.leaving {
+            let lost =
+                silent_zones.contains(&m.zone) && l.workers.get(name).is_some_and(|w| w.is_over());
+            if (!m.met || lost) && !m.leaving {
                 coming.extend(virtual_host(&m.kind, &m.zone, m.spot));
             }
         }
@@ -475,6 +478,23 @@
         }
     }
 
+    /// Zones most of whose machines have fallen silent: more likely cut off than dead. Their
+    /// machines are worth waiting for as long as new ones would take to boot.
+    fn silent_zones(&self, clock: Clock) -> HashSet<String> {
+        let mut heard: HashMap<&str, (usize, usize)> = HashMap::new();
+        let quiet = Micros::secs(self.settings.params.workers.report_s * 2.5);
+        for w in self.leader.iter().flat_map(|l| l.workers.values()) {
+            let c = heard.entry(w.zone.as_str()).or_default();
+            c.0 += 1;
+            c.1 += usize::from(clock.now.since(w.heard) > quiet);
+        }
+        heard
+            .into_iter()
+            .filter(|(_, (all, silent))| *silent >= 2 && silent * 2 > *all)
+            .map(|(z, _)| z.to_string())
+            .collect()
+    }
+
     fn give_up(
         &mut self,
         clock: Clock,
@@ -484,6 +504,7 @@
         lacking: bool,
     ) {
         let now = clock.now;
+        let silent_zones = self.silent_zones(clock);
         let Some(l) = &mut self.leader else { return };
         let free: HashMap<&str, &Host> = rest.iter().map(|h| (h.name.as_str(), h)).collect();
         let names: Vec<String> = l.fleet.machines.keys().cloned().collect();
@@ -513,7 +534,12 @@
             let Some(w) = l.workers.get(&name) else {
                 continue;
             };
-            if w.is_over() && now.since(w.heard) > Micros::millis(5_000) {
+            let wait = if silent_zones.contains(&w.zone) {
+                boot.max(Micros::millis(30_000))
+            } else {
+                Micros::millis(5_000)
+            };
+            if w.is_over() && now.since(w.heard) > wait {
                 l.fleet
                     .leave(&name, "its worker is silent and its lease has run out");
                 continue;
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -77,6 +77,10 @@
     pub generation: u64,
     /// The leases of all machines that never reported to us have run out in the worst case.
     pub strangers_over: bool,
+    /// Machines whose leases followers renew for us.
+    pub renewed: HashSet<String>,
+    renewed_seen: HashMap<String, (u64, Micros)>,
+    revoking: bool,
     /// When to look for due commands again.
     pub orders_at: Micros,
     placed: HashMap<String, Vec<(String, u32, u64, u64)>>,
@@ -117,6 +121,9 @@
             orders_dirty: true,
             generation: 0,
             strangers_over: false,
+            renewed: HashSet::new(),
+            renewed_seen: HashMap::new(),
+            revoking: false,
             orders_at: Micros::ZERO,
             placed: HashMap::new(),
             placed_at: None,
@@ -138,7 +145,7 @@
         match self.workers.get(machine) {
             Some(w) => w.standing(self.term, job, e.task(), e.attempt(), e.session()),
             // Nobody has met it under our term, and nobody can still be renewing its lease.
-            None if self.strangers_over => Standing::Gone,
+            None if self.strangers_over && !self.renewed.contains(machine) => Standing::Gone,
             None => Standing::Unclear,
         }
     }
@@ -173,12 +180,17 @@
     }
 
     /// Marks sessions as over whose lease has run out in the worst case.
-    fn leases(&mut self, s: &Settings, now: Micros) -> Micros {
+    fn leases(&mut self, s: &Settings, mirror: &Mirror, now: Micros) -> Micros {
         let w = &s.params.workers;
         // Clocks drift by 0.05% each way; the rest is for timers that fire late.
         let lease = Micros::secs(w.lease_s * 1.002 + 0.3);
         let first = self.since + Micros::secs(w.cancel_s * 1.002 + 0.3);
         let mut next = Micros::FAR;
+        let ours = mirror
+            .renewals
+            .values()
+            .filter(|(r, _)| r.term == self.term);
+        self.renewed = ours.flat_map(|(r, _)| r.machines.iter().cloned()).collect();
         if !self.strangers_over {
             if first <= now {
                 self.strangers_over = true;
@@ -197,7 +209,10 @@
                 Some(a) => (a + lease).max(first),
                 None => first,
             };
-            if end <= now {
+            if end <= now && mirror.renewed(self.term, name) {
+                // A follower keeps its lease alive, and will tell when it no longer does.
+                next = next.min(now + Micros::millis(500));
+            } else if end <= now {
                 log::info!(
                     "{name}: lease has run out, session {} is over",
                     worker.session
@@ -460,7 +475,7 @@
         let pace = Micros::secs(self.policy.pass_interval_s);
         let mut next = Micros::FAR;
         if let Some(l) = &mut self.leader {
-            next = next.min(l.leases(&self.settings, now));
+            next = next.min(l.leases(&self.settings, &self.mirror, now));
             if l.dirty {
                 let at = l.last_pass + pace;
                 if at <= now && now < l.proof + START_PROOF {
@@ -472,12 +487,43 @@
                 }
             }
         }
+        self.revoke(clock);
         self.flush_edits(clock);
         next = next.min(self.fleet_time(clock));
         next = next.min(self.send_orders(clock));
         next
     }
 
+    /// Revokes renewals of a follower that gives no sign of life. What it still answers is
+    /// bounded like an older leader's, so the bound for strangers starts anew.
+    fn revoke(&mut self, clock: Clock) {
+        let Some(l) = &mut self.leader else { return };
+        for (node, (r, version)) in &self.mirror.renewals {
+            if r.term != l.term || r.machines.is_empty() {
+                continue;
+            }
+            let seen = l
+                .renewed_seen
+                .entry(node.clone())
+                .or_insert((*version, clock.now));
+            if seen.0 != *version {
+                *seen = (*version, clock.now);
+            } else if clock.now.since(seen.1) > super::renewal::SIGN_OF_LIFE.times(2.5)
+                && !l.raising
+            {
+                log::info!("{node} gives no sign of life: its renewals are revoked");
+                seen.1 = clock.now;
+                // A new term of ours ends all that is done under the old one, and the bound on
+                // what others may still answer runs from now.
+                l.revoking = true;
+            }
+        }
+        if l.revoking {
+            l.revoking = false;
+            self.raise_term();
+        }
+    }
+
     fn pass(&mut self, clock: Clock) {
         let Some(l) = &mut self.leader else { return };
         let fresh = Micros::secs(self.settings.params.workers.report_s * FRESH_REPORTS);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,4 +7,5 @@
 pub mod placement;
 pub mod policy;
 pub mod queue;
+pub mod renewal;
 pub mod tasks;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -4,6 +4,7 @@
 use super::front::{Front, Waiter};
 use super::leader::Leader;
 use super::policy::Policy;
+use super::renewal::Renewals;
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::store::{Ask, Rank, Reply, Store};
 use crate::protocol::peer::Heartbeat;
@@ -55,6 +56,8 @@
     Edits(u64),
     /// Machine types.
     Types,
+    /// What we renew on the leader's behalf: these machines.
+    Renewals(Vec<String>),
 }
 
 /// Calls to others than the store.
@@ -115,6 +118,8 @@
     pub front: Front,
     /// The leader, while we lead.
     pub leader: Option<Leader>,
+    /// Leases renewed on the leader's behalf.
+    pub renewals: Renewals,
     /// Effects gathered in this step.
     pub out: Vec<NetCmd>,
     /// Number of the last call.
@@ -155,6 +160,7 @@
             mirror: Mirror::default(),
             front: Front::default(),
             leader: None,
+            renewals: Renewals::default(),
             out: Vec::new(),
             next_id: 0,
             calls: HashMap::new(),
@@ -309,13 +315,7 @@
             self.leader_report(clock, conn, report);
             return;
         }
-        let leader = self
-            .mirror
-            .lead
-            .as_ref()
-            .map(|(l, _)| l.node.clone())
-            .filter(|n| *n != self.settings.node && (self.mirror.live.is_some()));
-        self.respond(conn, 421, &Misdirected { leader });
+        self.follower_report(clock, conn, report);
     }
 
     fn on_answer(&mut self, clock: Clock, id: u64, outcome: Outcome) {
@@ -364,6 +364,7 @@
                 {
                     l.proof = l.proof.max(sent);
                 }
+                self.prove_renewals(sent);
                 self.on_news(clock);
                 for w in std::mem::take(&mut self.barrier_flying) {
                     self.resume(clock, w);
@@ -466,6 +467,7 @@
                 }
             }
             (Tag::Types, _) => {}
+            (Tag::Renewals(named), reply) => self.on_renewals(clock, named, ask, sent, reply),
         }
     }
 
@@ -525,6 +527,9 @@
             (Some((term, version)), Some(l)) => {
                 if term != l.term {
                     log::info!("term raised from {} to {term}", l.term);
+                    // Followers may go on under the old term as long as after a takeover.
+                    l.since = clock.now;
+                    l.strangers_over = false;
                 }
                 l.term = term;
                 l.version = version;
@@ -584,6 +589,19 @@
         next = next.min(self.heartbeats(clock));
         next = next.min(self.candidacy(clock));
         next = next.min(self.front_time(clock));
+        if self.leader.is_none() {
+            next = next.min(self.renewals_time(clock));
+        }
+        if self.leader.is_none() && self.renewals.active() {
+            let proof = self.renewals.proof();
+            if proof + PROOF_EVERY <= now {
+                if self.barrier_sent.is_none() {
+                    self.want_barrier(clock, Waiter::Proof);
+                }
+            } else {
+                next = next.min(proof + PROOF_EVERY);
+            }
+        }
         if self.leader.is_some() {
             if self.renew_at <= now && !self.renewing {
                 if let Some(l) = self.lease {
@@ -672,10 +690,23 @@
         if heard != leader || clock.now.since(*at) < LEADER_SILENT {
             return false;
         }
-        self.sibling_view
+        // One that is cut off by itself must not take the lead from the rest: somebody else has
+        // to miss the leader, too. Otherwise the lease in the store decides.
+        let mut others = self
+            .sibling_view
             .iter()
             .filter(|(n, (t, _))| *n != leader && clock.now.since(*t) < LEADER_SILENT)
-            .all(|(_, (_, silent))| silent.is_none_or(|ms| ms * 1000 >= LEADER_SILENT.0))
+            .peekable();
+        others.peek().is_some()
+            && others.all(|(_, (_, silent))| silent.is_none_or(|ms| ms * 1000 >= LEADER_SILENT.0))
+    }
+
+    /// How long a leader has not been heard by us; none: we never knew it alive.
+    pub fn leader_unheard(&self, clock: Clock, leader: &str) -> Option<Micros> {
+        match &self.leader_heard {
+            Some((n, t)) if n == leader => Some(clock.now.since(*t)),
+            _ => None,
+        }
     }
 
     /// The leader on record is an earlier run of our own process.
@@ -696,6 +727,20 @@
         }
     }
 
+    /// Whether the controller after us, by name, is in another zone. A worker that cannot reach
+    /// the leader tries the next one, and a lease has room for one vain try only: if a cut
+    /// between zones is the reason, the next one should be on its side.
+    fn next_is_elsewhere(&self) -> bool {
+        let s = &self.settings;
+        let after = s
+            .siblings
+            .iter()
+            .filter(|x| x.node > s.node)
+            .min_by_key(|x| &x.node);
+        let first = s.siblings.iter().min_by_key(|x| &x.node);
+        after.or(first).is_none_or(|x| x.zone != s.zone)
+    }
+
     fn candidacy(&mut self, clock: Clock) -> Micros {
         if self.leader.is_some() || !self.mirror.synced {
             return Micros::FAR;
@@ -706,8 +751,10 @@
                 // A little apart, so that not all claim at once.
                 let apart = if own_past {
                     0
+                } else if self.next_is_elsewhere() {
+                    self.rng.random_range(0..150)
                 } else {
-                    self.rng.random_range(0..300)
+                    self.rng.random_range(250..400)
                 };
                 let at = clock.now + Micros::millis(apart);
                 self.claim = ClaimState::Waiting(at);
--- /dev/null
+++ b/src/coordination/renewal.rs
@@ -0,0 +1,272 @@
+//! Leases kept alive on behalf of a leader that a worker cannot reach.
+//!
+//! When a zone is cut off, the controller inside it may still reach the state service. It then
+//! answers the zone's workers with the leader's term and without any commands but stops of
+//! cancelled tasks. Before it renews a machine's lease it records that it does, on condition that
+//! the leader's term still holds; the leader does not take a machine's lease for run out while
+//! such a record names it. A machine leaves the record only after its lease has run out since our
+//! last answer.
+
+use super::node::{Clock, Node, Tag, cond, put};
+use crate::bookkeeping::mirror::Known;
+use crate::bookkeeping::store::{Ask, Rank, Reply};
+use crate::bookkeeping::workers::split_task;
+use crate::protocol::Micros;
+use crate::protocol::records::{LEAD, RenewRec, Stage, renew_key};
+use crate::protocol::wire::{Command, Misdirected, Phase, Report, ReportAnswer, Txn};
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// What a follower renews.
+#[derive(Default)]
+pub struct Renewals {
+    /// Machines, with the time of our last answer.
+    machines: BTreeMap<String, Micros>,
+    /// Machines named by the record as committed.
+    recorded: HashSet<String>,
+    /// Term and version of the leader's record that ours is conditional on.
+    under: (u64, u64),
+    /// Version of our record.
+    version: u64,
+    /// Start of the last read that showed both records unchanged.
+    proof: Micros,
+    written: Micros,
+    flying: bool,
+    waiting: Vec<(u64, Report)>,
+    redirected: HashMap<String, Micros>,
+}
+
+/// A leader unheard for this long may be out of reach for the workers here, too.
+const SILENT: Micros = Micros::millis(1600);
+/// A worker that comes back this soon after it was sent to the leader has not reached it.
+const BOUNCED: Micros = Micros::millis(12_000);
+/// The record is written anew at this pace, as a sign of life for the leader.
+pub const SIGN_OF_LIFE: Micros = Micros::millis(10_000);
+
+impl Renewals {
+    /// Something is being renewed, so proof is needed.
+    pub fn active(&self) -> bool {
+        !self.machines.is_empty()
+    }
+
+    /// Start of the last proof.
+    pub fn proof(&self) -> Micros {
+        self.proof
+    }
+}
+
+impl Node {
+    /// A worker's report, while we do not lead.
+    pub fn follower_report(&mut self, clock: Clock, conn: u64, report: Report) {
+        let lead = self
+            .mirror
+            .lead
+            .as_ref()
+            .filter(|(l, _)| l.node != self.settings.node && self.mirror.live.is_some())
+            .map(|(l, v)| (l.node.clone(), l.term, *v));
+        let Some((leader, term, version)) = lead else {
+            self.respond(conn, 421, &Misdirected::default());
+            return;
+        };
+        let silent = self
+            .leader_unheard(clock, &leader)
+            .is_some_and(|s| s >= SILENT);
+        let r = &mut self.renewals;
+        let bounced = r
+            .redirected
+            .get(&report.machine)
+            .is_some_and(|t| clock.now.since(*t) < BOUNCED);
+        if report.term > term || !(silent || bounced) {
+            r.redirected.insert(report.machine, clock.now);
+            if r.redirected.len() > 4096 {
+                r.redirected.clear();
+            }
+            let leader = Some(leader);
+            self.respond(conn, 421, &Misdirected { leader });
+            return;
+        }
+        if r.under != (term, version) {
+            // Another term: what we recorded under the old one no longer counts.
+            r.under = (term, version);
+            r.recorded.clear();
+            r.machines.clear();
+            r.proof = Micros::ZERO;
+        }
+        if r.recorded.contains(&report.machine) {
+            self.renew_for(clock, conn, &report);
+        } else {
+            r.machines.insert(report.machine.clone(), clock.now);
+            r.waiting.push((conn, report));
+            self.write_renewals(clock);
+        }
+    }
+
+    fn renew_for(&mut self, clock: Clock, conn: u64, report: &Report) {
+        let grace = self.proof_grace();
+        let r = &mut self.renewals;
+        let current = self
+            .mirror
+            .lead
+            .as_ref()
+            .is_some_and(|(_, v)| *v == r.under.1);
+        if !current || clock.now >= r.proof + grace || !r.recorded.contains(&report.machine) {
+            self.refuse(conn, 503, "not entitled to renew");
+            return;
+        }
+        r.machines.insert(report.machine.clone(), clock.now);
+        let term = r.under.0;
+        let commands = report
+            .tasks
+            .iter()
+            .filter(|t| t.phase != Phase::Exited)
+            .filter(|t| {
+                // A cancellation is final: anybody may stop what it has left.
+                split_task(&t.task).is_some_and(|(job, _)| match self.mirror.job(job) {
+                    Some(Known::Live(j)) => j.rec.stage == Stage::Cancelled,
+                    Some(Known::Over(f)) => f.stage == Stage::Cancelled,
+                    None => false,
+                })
+            })
+            .map(|t| Command::Stop {
+                task: t.task.clone(),
+                attempt: t.attempt,
+                grace_s: 0.0,
+            })
+            .collect();
+        self.respond(conn, 200, &ReportAnswer { term, commands });
+    }
+
+    fn write_renewals(&mut self, clock: Clock) {
+        let r = &mut self.renewals;
+        if r.flying {
+            return;
+        }
+        r.flying = true;
+        r.written = clock.now;
+        let rec = RenewRec {
+            term: r.under.0,
+            machines: r.machines.keys().cloned().collect(),
+        };
+        let key = renew_key(&self.settings.node);
+        let held = self.mirror.renewals.get(&self.settings.node);
+        // A write that got no answer and is carried out late must not replace a newer record.
+        let txn = Txn {
+            conds: vec![
+                cond(LEAD, r.under.1),
+                cond(&key, held.map_or(0, |(_, v)| *v)),
+            ],
+            changes: vec![put(&key, &rec, None)],
+        };
+        self.store
+            .ask(Rank::First, Tag::Renewals(rec.machines), Ask::Txn(txn));
+    }
+
+    /// The record came back.
+    pub fn on_renewals(
+        &mut self,
+        clock: Clock,
+        named: Vec<String>,
+        ask: Ask,
+        sent: Micros,
+        reply: Reply,
+    ) {
+        self.renewals.flying = false;
+        let waiting = std::mem::take(&mut self.renewals.waiting);
+        if let (Reply::Committed(rev), Ask::Txn(t)) = (&reply, &ask) {
+            self.apply_own(t, *rev);
+            let r = &mut self.renewals;
+            if t.conds[0].version == r.under.1 {
+                log::info!("renewing {} machines for term {}", named.len(), r.under.0);
+                r.version = *rev;
+                r.recorded = named.into_iter().collect();
+                // The commit shows that the term held; cancellations up to now are known only
+                // after a read.
+                if r.proof == Micros::ZERO {
+                    r.proof = sent;
+                }
+                self.want_barrier(clock, super::front::Waiter::Proof);
+            }
+            let mut more = false;
+            for (conn, report) in waiting {
+                if self.renewals.recorded.contains(&report.machine) {
+                    self.renew_for(clock, conn, &report);
+                } else {
+                    more = true;
+                    self.renewals.waiting.push((conn, report));
+                }
+            }
+            if more {
+                self.write_renewals(clock);
+            }
+            return;
+        }
+        self.want_barrier(clock, super::front::Waiter::Proof);
+        for (conn, report) in waiting {
+            if !self.renewals.recorded.contains(&report.machine) {
+                self.renewals.machines.remove(&report.machine);
+            }
+            self.refuse(conn, 503, "the state service does not answer");
+        }
+    }
+
+    /// A read barrier that began at `sent` has been reached.
+    pub fn prove_renewals(&mut self, sent: Micros) {
+        let mine = self.mirror.renewals.get(&self.settings.node);
+        let r = &mut self.renewals;
+        if !r.active() || r.recorded.is_empty() {
+            return;
+        }
+        let holds = self
+            .mirror
+            .lead
+            .as_ref()
+            .is_some_and(|(_, v)| *v == r.under.1)
+            && mine.is_some_and(|(_, v)| *v == r.version);
+        if holds {
+            r.proof = r.proof.max(sent);
+        } else {
+            log::info!("no longer entitled to renew for term {}", r.under.0);
+            r.recorded.clear();
+            r.machines.clear();
+        }
+    }
+
+    /// Drops machines whose lease has run out since our last answer; returns when to look again.
+    pub fn renewals_time(&mut self, clock: Clock) -> Micros {
+        let lease = Micros::secs(self.settings.params.workers.lease_s * 1.002 + 0.5);
+        let r = &mut self.renewals;
+        if r.flying {
+            return Micros::FAR;
+        }
+        if !r.active() {
+            // What an earlier run of ours renewed has run out by now: say so.
+            let mine = self.mirror.renewals.get(&self.settings.node);
+            let stale = mine
+                .filter(|(m, _)| !m.machines.is_empty())
+                .map(|(m, _)| m.term);
+            if let (Some(term), Some((lead, version))) = (stale, &self.mirror.lead)
+                && term == lead.term
+            {
+                if clock.now < lease || clock.now < r.written + Micros::millis(1000) {
+                    return lease.max(clock.now + Micros::millis(1000));
+                }
+                r.under = (term, *version);
+                self.write_renewals(clock);
+            }
+            return Micros::FAR;
+        }
+        let before = r.machines.len();
+        r.machines.retain(|_, t| clock.now.since(*t) < lease);
+        if r.machines.len() != before {
+            // No longer answered from this moment on, whatever becomes of the write.
+            let left: HashSet<String> = r.machines.keys().cloned().collect();
+            r.recorded.retain(|m| left.contains(m));
+        }
+        let sign = r.written + SIGN_OF_LIFE;
+        if r.machines.len() != before || sign <= clock.now {
+            self.write_renewals(clock);
+            return Micros::FAR;
+        }
+        let out = r.machines.values().map(|t| *t + lease).min();
+        out.unwrap_or(Micros::FAR).min(sign)
+    }
+}
--- a/src/coordination/tasks.rs
+++ b/src/coordination/tasks.rs
@@ -228,7 +228,7 @@
 
     /// Takes a higher term for ourselves: workers that see it no longer accept what was sent
     /// before and never answered.
-    fn raise_term(&mut self) {
+    pub fn raise_term(&mut self) {
         let Some(l) = &mut self.leader else { return };
         if l.raising {
             return;
--- a/src/protocol/records.rs
+++ b/src/protocol/records.rs
@@ -16,6 +16,23 @@
 /// Chunks of large jobs.
 pub const CHUNKS: &str = "wt/t/";
 
+/// Machines whose leases a follower renews.
+pub const RENEWALS: &str = "wt/r/";
+
+/// Key of a follower's renewals.
+pub fn renew_key(node: &str) -> String {
+    format!("{RENEWALS}{node}")
+}
+
+/// Machines whose leases a follower renews on behalf of the leader with this term.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RenewRec {
+    /// Term.
+    pub term: u64,
+    /// Machines.
+    pub machines: Vec<String>,
+}
+
 /// Key of a job.
 pub fn job_key(id: &str) -> String {
     format!("{JOBS}{id}")
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -93,7 +93,7 @@
     let inside: Vec<String> = w
         .workers
         .values()
-        .filter(|x| x.zone == if l % 2 == 0 { "a" } else { "b" })
+        .filter(|x| x.zone == if l.is_multiple_of(2) { "a" } else { "b" })
         .map(|x| x.name.clone())
         .collect();
     for i in (0..3).filter(|i| *i != l) {
@@ -116,6 +116,65 @@
     assert_eq!(w.told("req-1"), "cancelled");
 }
 
+/// Cuts everything between the zones; the state service stays reachable.
+fn cut_zones(w: &mut World, dt: u64) {
+    let zone = |i: usize| if i.is_multiple_of(2) { "a" } else { "b" };
+    for i in 0..3 {
+        for j in (0..3).filter(|j| zone(*j) != zone(i)) {
+            w.cut(Party::Node(i), Party::Node(j), Cut::Drop, dt);
+        }
+        let far: Vec<String> = w
+            .workers
+            .values()
+            .filter(|x| x.zone != zone(i))
+            .map(|x| x.name.clone())
+            .collect();
+        for m in far {
+            w.cut(Party::Node(i), Party::Worker(m), Cut::Drop, dt);
+        }
+    }
+}
+
+#[test]
+fn a_zone_that_cannot_reach_the_leader_keeps_its_tasks() {
+    for seed in 40..50 {
+        let mut w = settled(seed, 4);
+        w.user("req-1", job(Kind::Service, 4, 1.0), 0);
+        w.user("req-2", job(Kind::Array, 8, 1.0), 30 * SEC);
+        w.run(12);
+        if w.leader() == Some(2) {
+            // The far zone's workers would try controller 0 next, in vain, and their leases run
+            // out before they come to controller 1: two vain tries take longer than a lease.
+            continue;
+        }
+        cut_zones(&mut w, 30 * SEC);
+        w.run(10);
+        w.cancel_surely("req-2");
+        w.run(60);
+        let restarted: Vec<_> = w.starts.iter().filter(|(_, n)| **n > 1).collect();
+        assert!(restarted.is_empty(), "seed {seed}: {restarted:?}");
+        assert_eq!(w.told("req-2"), "cancelled");
+    }
+}
+
+#[test]
+fn a_machine_that_dies_behind_a_cut_is_given_up_after_all() {
+    let mut w = settled(46, 4);
+    w.user("req-1", job(Kind::Service, 4, 1.0), 0);
+    w.run(12);
+    cut_zones(&mut w, 30 * SEC);
+    w.run(12);
+    for x in w.workers.values_mut().filter(|x| x.zone == "b") {
+        x.alive = false;
+    }
+    // The controller that renewed the leases goes, too.
+    w.crash(1, 4 * SEC);
+    w.run(120);
+    for t in 0..4 {
+        assert_eq!(w.on(&format!("req-1/{t}")).len(), 1, "{}", w.dump());
+    }
+}
+
 #[test]
 fn a_takeover_waits_for_a_hung_machine() {
     let mut w = settled(7, 2);
@@ -370,7 +429,7 @@
         }
         for _ in 0..7 {
             let at = w.rng.random_range(0..90 * SEC);
-            let what = w.rng.random_range(0..8);
+            let what = w.rng.random_range(0..9);
             let dt = w.rng.random_range(2..30) * SEC;
             let i = w.rng.random_range(0..3usize);
             let k = w.rng.random_range(1..8u32);
@@ -401,6 +460,7 @@
                             x.alive = false;
                         }
                     }
+                    7 => cut_zones(w, dt),
                     _ => {
                         w.delay_orders = Some(dt.min(5 * SEC));
                         w.after(dt, |w| w.delay_orders = None);
