--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -563,7 +563,10 @@
             }
         }
         // Tasks of cancelled jobs that cannot be confirmed gone in time go with their machine.
-        let late = Micros::secs(self.settings.params.workers.cancel_s * 0.6);
+        // A controller that renews the machine's lease behind a cut has told it to stop them, so
+        // this waits until just enough time is left for a few calls to the cloud.
+        let cancel_s = self.settings.params.workers.cancel_s;
+        let late = Micros::secs((cancel_s - 8.0).max(cancel_s * 0.6));
         for (id, job) in &self.mirror.jobs {
             if job.rec.stage != Stage::Cancelled || clock.wall < job.rec.end + late {
                 continue;
