--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -701,12 +701,12 @@
             && others.all(|(_, (_, silent))| silent.is_none_or(|ms| ms * 1000 >= LEADER_SILENT.0))
     }
 
-    /// How long a leader has not been heard by us; none: we never knew it alive.
+    /// How long nothing has been heard from the controller that leads, in whatever role; none:
+    /// it was never heard.
     pub fn leader_unheard(&self, clock: Clock, leader: &str) -> Option<Micros> {
-        match &self.leader_heard {
-            Some((n, t)) if n == leader => Some(clock.now.since(*t)),
-            _ => None,
-        }
+        self.sibling_view
+            .get(leader)
+            .map(|(t, _)| clock.now.since(*t))
     }
 
     /// The leader on record is an earlier run of our own process.
