Relay reports to a leader its workers cannot reach; never reuse a rental's name

Cause (incident of naidu): the leader was cut from the workers alone; the others sent them back to it in vain until their leases ran out. And a controller that led twice in one run reused names of rentals, so the cloud answered with old machines.

--- a/src/bookkeeping/workers.rs
+++ b/src/bookkeeping/workers.rs
@@ -28,6 +28,8 @@
 /// A start of ours that was sent directly.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Start {
+    /// Sent directly, and the answer is awaited.
+    pub direct: bool,
     /// Answered with 200: carried out (or without effect).
     pub answered: bool,
     /// Sent once without any answer: it may be carried out late, as long as term and session
@@ -35,6 +37,9 @@
     pub loose: bool,
     /// The term it was sent with.
     pub term: u64,
+    /// Sent with the answer to the report of this number. Whether it was carried out is shown by
+    /// any later report: the worker sends one at a time, and drops answers that come late.
+    pub answer_to: Option<u64>,
 }
 
 /// Names an attempt of a task on a worker.
@@ -135,6 +140,21 @@
         true
     }
 
+    /// A report (not an answer to commands) with this number has come: starts sent with earlier
+    /// answers have been carried out by now, or never will be.
+    pub fn settle_answers(&mut self, session: u64, seq: u64) {
+        if session != self.session {
+            return;
+        }
+        self.starts.retain(|_, s| {
+            if s.answer_to.is_some_and(|n| n < seq) {
+                s.answer_to = None;
+                return s.answered || s.loose || s.direct;
+            }
+            true
+        });
+    }
+
     /// A worker that has just been met.
     pub fn new(r: &Report) -> Worker {
         Worker {
@@ -208,7 +228,7 @@
             None => Standing::NotStarted,
             // Sent with an older term of ours, which the worker no longer accepts.
             Some(s) if s.term < self.term => Standing::NotStarted,
-            Some(s) if s.answered && !s.loose => Standing::Gone,
+            Some(s) if s.answered && !s.loose && s.answer_to.is_none() => Standing::Gone,
             Some(_) => Standing::Unclear,
         }
     }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -459,7 +459,11 @@
         }
         for ((kind, zone, spot), n) in orders {
             f.counter += 1;
-            let request = format!("{}-{:x}-{}", self.settings.node, self.inc, f.counter);
+            // The term is part of the name: a controller that leads a second time counts anew.
+            let request = format!(
+                "{}-{:x}-{}-{}",
+                self.settings.node, self.inc, l.term, f.counter
+            );
             let rent = Rent {
                 request: request.clone(),
                 kind,
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -239,7 +239,7 @@
 
 impl Node {
     /// A worker's report, while we lead.
-    pub fn leader_report(&mut self, clock: Clock, conn: u64, report: Report) {
+    pub fn leader_report(&mut self, clock: Clock, conn: u64, report: Report, relayed: bool) {
         let grace = self.proof_grace();
         let Some(l) = &mut self.leader else { return };
         if clock.now >= l.proof + grace {
@@ -254,7 +254,14 @@
             .or_insert_with(|| Worker::new(&report));
         let current = (report.session, report.seq) >= (w.session, w.seq);
         self.take_report(clock, &report);
-        let commands = self.commands_for(clock, &name, true);
+        if let Some(w) = self.leader.as_mut().and_then(|l| l.workers.get_mut(&name)) {
+            w.settle_answers(report.session, report.seq);
+        }
+        let commands = if current {
+            self.commands_for(clock, &report, relayed)
+        } else {
+            Vec::new()
+        };
         let Some(l) = &mut self.leader else { return };
         let term = l.term;
         if current && let Some(w) = l.workers.get_mut(&name) {
@@ -465,7 +472,7 @@
                 session,
             } => self.on_orders(clock, &machine, starts, term, session, outcome),
             CallTag::Cloud(ask) => self.on_cloud(clock, ask, outcome),
-            CallTag::Heartbeat(_) => {}
+            CallTag::Heartbeat(_) | CallTag::Relay(..) => {}
         }
     }
 
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -78,6 +78,8 @@
     Cloud(super::fleet::CloudAsk),
     /// A heartbeat.
     Heartbeat(usize),
+    /// A worker's report handed on to the leader.
+    Relay(u64, Box<Report>),
 }
 
 /// The leader's lease in the store lives this long unrenewed. Only liveness hangs on it.
@@ -262,6 +264,12 @@
                     self.on_heartbeat(clock, h);
                     self.respond(conn, 200, &());
                 }
+                _ if path == "/hello" => match decode::<Report>(body) {
+                    Some(r) if self.leader.as_ref().is_some_and(|l| r.term <= l.term) => {
+                        self.leader_report(clock, conn, r, true);
+                    }
+                    _ => self.refuse(conn, 503, "not leading"),
+                },
                 _ => self.refuse(conn, 404, "no such path"),
             }
             return;
@@ -312,7 +320,7 @@
             return;
         }
         if self.leader.is_some() {
-            self.leader_report(clock, conn, report);
+            self.leader_report(clock, conn, report, false);
             return;
         }
         self.follower_report(clock, conn, report);
@@ -325,6 +333,7 @@
         }
         match self.calls.remove(&id) {
             Some(CallTag::Heartbeat(i)) => self.heartbeat_flying[i] = false,
+            Some(CallTag::Relay(conn, report)) => self.on_relay(clock, conn, *report, outcome),
             Some(tag) => self.leader_answer(clock, tag, outcome),
             None => {}
         }
--- a/src/coordination/renewal.rs
+++ b/src/coordination/renewal.rs
@@ -7,13 +7,14 @@
 //! such a record names it. A machine leaves the record only after its lease has run out since our
 //! last answer.
 
-use super::node::{Clock, Node, Tag, cond, put};
+use super::node::{CallTag, Clock, Node, Tag, cond, put};
 use crate::bookkeeping::mirror::Known;
 use crate::bookkeeping::store::{Ask, Rank, Reply};
 use crate::bookkeeping::workers::split_task;
 use crate::protocol::Micros;
 use crate::protocol::records::{LEAD, RenewRec, Stage, renew_key};
-use crate::protocol::wire::{Command, Misdirected, Phase, Report, ReportAnswer, Txn};
+use crate::protocol::wire::{Command, Misdirected, Phase, Report, ReportAnswer, Txn, encode};
+use crate::transport::{NetCmd, Outcome};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// What a follower renews.
@@ -33,12 +34,20 @@
     flying: bool,
     waiting: Vec<(u64, Report)>,
     redirected: HashMap<String, Micros>,
+    /// Machines whose reports are handed on to the leader, until when.
+    relayed: HashMap<String, Micros>,
 }
 
 /// A leader unheard for this long may be out of reach for the workers here, too.
 const SILENT: Micros = Micros::millis(1600);
 /// A worker that comes back this soon after it was sent to the leader has not reached it.
 const BOUNCED: Micros = Micros::millis(12_000);
+/// How long reports of a worker are handed on before it is sent to the leader again.
+const HOLD: Micros = Micros::millis(8_000);
+/// The same for a worker that was sent there in vain.
+const HOLD_BOUNCED: Micros = Micros::millis(30_000);
+/// How long the leader may take; the worker waits 4 s in all.
+const RELAY_TIMEOUT: Micros = Micros::millis(1_500);
 /// The record is written anew at this pace, as a sign of life for the leader.
 pub const SIGN_OF_LIFE: Micros = Micros::millis(10_000);
 
@@ -75,7 +84,36 @@
             .redirected
             .get(&report.machine)
             .is_some_and(|t| clock.now.since(*t) < BOUNCED);
-        if report.term > term || !(silent || bounced) {
+        if report.term > term {
+            self.respond(conn, 421, &Misdirected::default());
+            return;
+        }
+        // A worker that has seen this term has been with the leader, and comes because it no
+        // longer reaches it; a lease has no room for sending it there in vain.
+        let hold = if bounced { HOLD_BOUNCED } else { HOLD };
+        let since = *r
+            .relayed
+            .entry(report.machine.clone())
+            .or_insert(clock.now + hold);
+        let lost = report.term == term || bounced;
+        if !silent && lost && clock.now < since {
+            let addr = self
+                .settings
+                .siblings
+                .iter()
+                .find(|s| s.node == leader)
+                .map(|s| s.address);
+            if let Some(addr) = addr {
+                log::debug!("{}: its report goes on to {leader}", report.machine);
+                let body = encode(&report);
+                let tag = CallTag::Relay(conn, Box::new(report));
+                self.call(tag, addr, "POST", "/hello", body, RELAY_TIMEOUT);
+                return;
+            }
+        }
+        if !silent {
+            r.relayed.remove(&report.machine);
+            log::debug!("{}: sent on to {leader}", report.machine);
             r.redirected.insert(report.machine, clock.now);
             if r.redirected.len() > 4096 {
                 r.redirected.clear();
@@ -84,6 +122,37 @@
             self.respond(conn, 421, &Misdirected { leader });
             return;
         }
+        self.adopt(clock, conn, report, term, version);
+    }
+
+    /// The leader has answered a report that we handed on, or not.
+    pub fn on_relay(&mut self, clock: Clock, conn: u64, report: Report, outcome: Outcome) {
+        if let Outcome::Reply { status: 200, body } = outcome {
+            self.out.push(NetCmd::Respond {
+                conn,
+                status: 200,
+                body,
+                retry_after: None,
+            });
+            return;
+        }
+        let lead = self
+            .mirror
+            .lead
+            .as_ref()
+            .filter(|(l, _)| l.node != self.settings.node && l.term >= report.term)
+            .map(|(l, v)| (l.term, *v));
+        match lead {
+            Some((term, version)) if self.leader.is_none() => {
+                self.adopt(clock, conn, report, term, version);
+            }
+            _ => self.respond(conn, 421, &Misdirected::default()),
+        }
+    }
+
+    /// Answers a report on the leader's behalf, once it is on record that we do.
+    fn adopt(&mut self, clock: Clock, conn: u64, report: Report, term: u64, version: u64) {
+        let r = &mut self.renewals;
         if r.under != (term, version) {
             // Another term: what we recorded under the old one no longer counts.
             r.under = (term, version);
--- a/src/coordination/tasks.rs
+++ b/src/coordination/tasks.rs
@@ -4,7 +4,7 @@
 use super::node::{CallTag, Clock, Node, cond, put};
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::store::{Ask, Rank};
-use crate::bookkeeping::workers::{Standing, Start};
+use crate::bookkeeping::workers::{AttemptKey, Standing, Start, Worker};
 use crate::protocol::Micros;
 use crate::protocol::records::{LEAD, LeadRec};
 use crate::protocol::wire::{Command, Orders, Phase, Report, Txn, Why, decode, encode};
@@ -26,6 +26,16 @@
     fence: bool,
 }
 
+/// A direct start that was certainly not carried out; other tries may have been.
+fn not_executed(w: &mut Worker, key: &AttemptKey) {
+    if let Some(s) = w.starts.get_mut(key) {
+        s.direct = false;
+        if !s.loose && !s.answered && s.answer_to.is_none() {
+            w.starts.remove(key);
+        }
+    }
+}
+
 fn name(job: &str, task: u32) -> String {
     format!("{job}/{task}")
 }
@@ -131,23 +141,33 @@
 }
 
 impl Node {
-    /// Commands for the answer to a report. Starts among them are executed within the 4 s in
-    /// which the worker accepts the answer, or never; those already sent directly are repeated.
-    pub fn commands_for(&mut self, clock: Clock, machine: &str, forgets: bool) -> Vec<Command> {
+    /// Commands for the answer to a report. Starts go with it only if the report was relayed,
+    /// since then the worker may be out of our reach.
+    pub fn commands_for(&mut self, clock: Clock, report: &Report, relayed: bool) -> Vec<Command> {
+        let machine = &report.machine;
         self.index_tasks();
         let Some(l) = &mut self.leader else {
             return Vec::new();
         };
-        let d = due(l, &self.mirror, machine, clock.now, forgets);
+        let d = due(l, &self.mirror, machine, clock.now, true);
         if let Some(w) = l.workers.get_mut(machine) {
             for key in d.stops {
                 w.stops.insert(key, clock.now);
             }
+            for key in d.starts.into_iter().filter(|_| relayed) {
+                let s = w.starts.entry(key).or_default();
+                if s.term != l.term {
+                    *s = Start {
+                        term: l.term,
+                        ..Start::default()
+                    };
+                }
+                s.answer_to = Some(report.seq);
+            }
         }
-        // Starts go directly only, so that there is one path on which they can be late.
         d.commands
             .into_iter()
-            .filter(|c| !matches!(c, Command::Start { .. }))
+            .filter(|c| relayed || !matches!(c, Command::Start { .. }))
             .collect()
     }
 
@@ -203,6 +223,7 @@
                         ..Start::default()
                     };
                 }
+                s.direct = true;
             }
             let orders = Orders {
                 term: l.term,
@@ -270,9 +291,7 @@
                 if session == w.session {
                     for key in starts {
                         // Never sent, unless an earlier try was.
-                        if w.starts.get(&key).is_some_and(|s| !s.loose && !s.answered) {
-                            w.starts.remove(&key);
-                        }
+                        not_executed(w, &key);
                     }
                 }
                 return;
@@ -286,6 +305,7 @@
                     for key in starts {
                         if let Some(s) = w.starts.get_mut(&key).filter(|s| s.term == term) {
                             s.answered = true;
+                            s.direct = false;
                         }
                     }
                 }
@@ -294,9 +314,7 @@
             (409, Some(r)) => {
                 if session == w.session {
                     for key in starts {
-                        if w.starts.get(&key).is_some_and(|s| !s.loose && !s.answered) {
-                            w.starts.remove(&key);
-                        }
+                        not_executed(w, &key);
                     }
                 }
                 w.order_again = clock.now + Micros::millis(200);
@@ -313,6 +331,7 @@
                     for key in starts {
                         if let Some(s) = w.starts.get_mut(&key).filter(|s| s.term == term) {
                             s.loose = true;
+                            s.direct = false;
                         }
                     }
                 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -161,6 +161,22 @@
     }
 }
 
+#[test]
+fn a_leader_cut_from_the_workers_alone_still_runs_them() {
+    let mut w = settled(47, 4);
+    w.user("req-1", job(Kind::Service, 4, 1.0), 0);
+    w.run(12);
+    let l = w.leader().unwrap();
+    for m in w.workers.keys().cloned().collect::<Vec<_>>() {
+        w.cut(Party::Node(l), Party::Worker(m), Cut::Drop, 60 * SEC);
+    }
+    w.run(10);
+    w.user("req-2", job(Kind::Array, 4, 1.0), 5 * SEC);
+    w.run(35);
+    assert!(w.job_done("req-2"), "started through the other controllers");
+    assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
+}
+
 #[test]
 fn a_machine_that_dies_behind_a_cut_is_given_up_after_all() {
     let mut w = settled(46, 4);
@@ -340,6 +356,25 @@
     assert!(w.deleted.contains("n-000001"));
 }
 
+#[test]
+fn a_controller_that_leads_twice_rents_under_new_names() {
+    let mut w = settled(19, 1);
+    w.user("req-1", job(Kind::Service, 1, 8.0), 0);
+    w.user("req-2", job(Kind::Service, 1, 8.0), 0);
+    w.run(80);
+    let first = w.leader().unwrap();
+    // Its lead goes round once and comes back, in the same run of its process.
+    w.store.refuses = vec![first];
+    w.run(15);
+    w.store.refuses = (0..3).filter(|i| *i != first).collect();
+    w.run(60);
+    assert_eq!(w.leader(), Some(first));
+    w.store.refuses.clear();
+    w.user("req-3", job(Kind::Service, 1, 8.0), 0);
+    w.run(40);
+    assert_eq!(w.told("req-3"), "running", "{}", w.dump());
+}
+
 #[test]
 fn nobody_invents_or_forgets_a_job() {
     let mut w = settled(16, 1);
@@ -433,7 +468,7 @@
         }
         for _ in 0..7 {
             let at = w.rng.random_range(0..90 * SEC);
-            let what = w.rng.random_range(0..9);
+            let what = w.rng.random_range(0..10);
             let dt = w.rng.random_range(2..30) * SEC;
             let i = w.rng.random_range(0..3usize);
             let k = w.rng.random_range(1..8u32);
@@ -465,6 +500,11 @@
                         }
                     }
                     7 => cut_zones(w, dt),
+                    8 => {
+                        for m in w.workers.keys().cloned().collect::<Vec<_>>() {
+                            w.cut(Party::Node(i), Party::Worker(m), Cut::Hold, dt);
+                        }
+                    }
                     _ => {
                         w.delay_orders = Some(dt.min(5 * SEC));
                         w.after(dt, |w| w.delay_orders = None);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -97,6 +97,7 @@
     pub cloud_down: bool,
     pub failed: BTreeSet<String>,
     rented: HashMap<String, Vec<String>>,
+    rented_at: HashMap<String, u64>,
     machines: u64,
     pub deleted: BTreeSet<String>,
     open: HashMap<(usize, u64, u64), ()>,
@@ -206,6 +207,7 @@
             cloud_down: false,
             failed: BTreeSet::new(),
             rented: HashMap::new(),
+            rented_at: HashMap::new(),
             machines: 0,
             deleted: BTreeSet::new(),
             open: HashMap::new(),
@@ -1121,6 +1123,10 @@
                 let r: Rent = decode(&call.body).expect("a rental");
                 if let Some(names) = self.rented.get(&r.request) {
                     let machines = names.clone();
+                    let first = self.rented_at[&r.request];
+                    if self.now > first + 60 * SEC {
+                        self.broken("hire reused", r.request);
+                    }
                     return (200, encode(&MachineNames { machines }));
                 }
                 let room = 12usize.saturating_sub(self.workers.len() + self.booting.len());
@@ -1135,6 +1141,7 @@
                         .push((self.now + BOOT, name.clone(), r.zone.clone(), r.spot));
                     names.push(name);
                 }
+                self.rented_at.insert(r.request.clone(), self.now);
                 self.rented.insert(r.request, names.clone());
                 (200, encode(&MachineNames { machines: names }))
             }
