--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -410,6 +410,7 @@
                 free: [t.cpus, t.gpus, t.memory_gb],
                 open: true,
                 images: Vec::new(),
+                reserved: None,
             })
         };
         for (name, m) in f.machines.iter().filter(|(_, m)| !m.failed) {
@@ -592,7 +593,7 @@
 fn place_virtually(spec: &Spec, coming: &mut [Host], n: u32) -> u32 {
     let need = need(spec);
     if spec.kind == Kind::Gang {
-        let Some(found) = placement::gang(coming, spec, n, 1.0) else {
+        let Some(found) = placement::gang(coming, "", spec, n, 1.0) else {
             return n;
         };
         for h in found {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -4,7 +4,7 @@
 use super::front::{Waiter, put_job};
 use super::node::{CallTag, Clock, Node, Tag, cond, put};
 use super::placement::{self, Host};
-use super::queue::{self, Backfilled, Item, Room};
+use super::queue::{self, Item, Room, Victim};
 use crate::bookkeeping::mirror::{Job, Mirror};
 use crate::bookkeeping::store::{Ask, Rank, Reply};
 use crate::bookkeeping::workers::{Standing, Worker};
@@ -80,6 +80,8 @@
     /// Machines whose leases followers renew for us.
     pub renewed: HashSet<String>,
     renewed_seen: HashMap<String, (u64, Micros)>,
+    /// Machines on which room is being made for a job, until when.
+    reserved: HashMap<String, (String, Micros)>,
     revoking: bool,
     /// When to look for due commands again.
     pub orders_at: Micros,
@@ -97,6 +99,8 @@
 const START_PROOF: Micros = Micros::millis(4000);
 /// A batch whose answer was lost is sent again this much later, through a barrier.
 const FORGIVE: Micros = Micros::millis(60_000);
+/// Room made for a job is kept for it this long; stops take a save and a report or two.
+const RESERVED: Micros = Micros::millis(20_000);
 /// Most places of one pass.
 const PLACES: usize = 64;
 
@@ -123,6 +127,7 @@
             strangers_over: false,
             renewed: HashSet::new(),
             renewed_seen: HashMap::new(),
+            reserved: HashMap::new(),
             revoking: false,
             orders_at: Micros::ZERO,
             placed: HashMap::new(),
@@ -566,6 +571,11 @@
                 free: *total,
                 open,
                 images: w.images.iter().map(|(i, _)| i.clone()).collect(),
+                reserved: l
+                    .reserved
+                    .get(name)
+                    .filter(|(_, until)| *until > clock.now)
+                    .map(|(j, _)| j.clone()),
             });
         }
         let mut room: Room = Room::new();
@@ -573,7 +583,7 @@
             let most = |v: f64| if v > 0.0 { v } else { f64::INFINITY };
             room.insert(t.name.clone(), [most(t.cpus_max), most(t.gpus_max)]);
         }
-        let mut backfilled: Vec<Backfilled> = Vec::new();
+        let mut victims: Vec<Victim> = Vec::new();
         let mut items: Vec<(Micros, Item<'_>)> = Vec::new();
         let mut cleans: Vec<String> = Vec::new();
         let mut dones: Vec<(String, u32)> = Vec::new();
@@ -615,14 +625,19 @@
                         if !hosts[h].images.contains(&spec.image) {
                             hosts[h].images.push(spec.image.clone());
                         }
-                        if e.backfilled() {
+                        let going = l.stopping.contains_key(&(id.clone(), e.task()));
+                        let single = spec.kind == Kind::Array || spec.tasks == 1;
+                        if spec.kind != Kind::Service && job.active() && !going && !in_flight {
                             let order = l.order_of.get(&(id.clone(), e.task()));
-                            backfilled.push(Backfilled {
+                            victims.push(Victim {
                                 job: id.clone(),
                                 task: e.task(),
                                 host: h,
                                 need,
                                 order: order.copied().unwrap_or(0),
+                                backfilled: e.backfilled(),
+                                priority: spec.priority,
+                                saves: single && spec.checkpoint_s > 0.0,
                             });
                         }
                         hosts[h].zone.clone()
@@ -702,15 +717,16 @@
         }
         items.sort_by(|a, b| (a.0, a.1.id).cmp(&(b.0, b.1.id)));
         let items: Vec<Item<'_>> = items.into_iter().map(|(_, i)| i).collect();
+        for h in &mut hosts {
+            if h.reserved
+                .as_ref()
+                .is_some_and(|r| items.iter().all(|i| i.id != *r))
+            {
+                h.reserved = None;
+            }
+        }
         let mut rest = hosts.clone();
-        let plan = queue::pass(
-            &items,
-            &mut rest,
-            &backfilled,
-            &mut room,
-            &mut l.b_max,
-            PLACES,
-        );
+        let plan = queue::pass(&items, &mut rest, &victims, &mut room, &mut l.b_max, PLACES);
         log::debug!(
             "pass: {} jobs wait, {} starts, {} stops, {} lack room, {} machines",
             items.len(),
@@ -729,7 +745,7 @@
             .collect();
         for (id, task) in plan.stops {
             if let Some(job) = self.mirror.jobs.get(&id) {
-                log::info!("{id}/{task}: stopped, a gang ahead of it takes the room");
+                log::info!("{id}/{task}: stopped to make room");
                 if job.rec.spec.kind == Kind::Gang {
                     // A gang stops as a whole.
                     for t in 0..job.rec.spec.tasks {
@@ -740,6 +756,11 @@
                 }
             }
         }
+        l.reserved.retain(|_, (_, until)| *until > clock.now);
+        for (h, id) in plan.reserved {
+            let until = clock.now + RESERVED;
+            l.reserved.insert(hosts[h].name.clone(), (id, until));
+        }
         for p in plan.places {
             let Some(job) = self.mirror.jobs.get(&p.job) else {
                 continue;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -31,6 +31,8 @@
     pub open: bool,
     /// Images it has or fetches.
     pub images: Vec<String>,
+    /// Room is being made on it for this job; others keep off.
+    pub reserved: Option<String>,
 }
 
 const EPS: f64 = 1e-6;
@@ -70,8 +72,16 @@
         && spec.zone.as_deref().is_none_or(|z| z == zone)
 }
 
-fn open_to(spec: &Spec, h: &Host, need: &Amounts) -> bool {
-    h.open && allowed(spec, &h.kind, &h.zone, h.spot) && slots(&h.free, need) > 0
+fn open_to(id: &str, spec: &Spec, h: &Host, need: &Amounts) -> bool {
+    h.open
+        && h.reserved.as_deref().is_none_or(|r| r == id)
+        && allowed(spec, &h.kind, &h.zone, h.spot)
+        && slots(&h.free, need) > 0
+}
+
+/// Whether a machine would take one task of this job.
+pub fn may_take(h: &Host, id: &str, spec: &Spec) -> bool {
+    open_to(id, spec, h, &need(spec))
 }
 
 fn rank(h: &Host, need: &Amounts, ratio: f64, image: &str) -> (bool, f64) {
@@ -91,6 +101,7 @@
 /// The best machine for one task; `fits` holds the job's own further conditions.
 pub fn single(
     hosts: &[Host],
+    id: &str,
     spec: &Spec,
     ratio: f64,
     fits: impl Fn(usize, &Host) -> bool,
@@ -98,7 +109,7 @@
     let need = need(spec);
     let mut best: Option<(usize, (bool, f64))> = None;
     for (i, h) in hosts.iter().enumerate() {
-        if !open_to(spec, h, &need) || !fits(i, h) {
+        if !open_to(id, spec, h, &need) || !fits(i, h) {
             continue;
         }
         let r = rank(h, &need, ratio, &spec.image);
@@ -111,12 +122,12 @@
 
 /// Places all `n` tasks of a gang or none: on one machine, else in one zone, else anywhere
 /// (unless the job wants one zone).
-pub fn gang(hosts: &[Host], spec: &Spec, n: u32, ratio: f64) -> Option<Vec<usize>> {
+pub fn gang(hosts: &[Host], id: &str, spec: &Spec, n: u32, ratio: f64) -> Option<Vec<usize>> {
     let need = need(spec);
     let mut order: Vec<(usize, (bool, f64), u32)> = hosts
         .iter()
         .enumerate()
-        .filter(|(_, h)| open_to(spec, h, &need))
+        .filter(|(_, h)| open_to(id, spec, h, &need))
         .map(|(i, h)| {
             let r = rank(h, &need, ratio, &spec.image);
             (i, r, slots(&h.free, &need))
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -1,7 +1,7 @@
 //! One pass of BgMBFSDF over the arrival-ordered queue (the paper's algorithm 2).
 
 use super::placement::{self, Amounts, Host, need, slots};
-use crate::protocol::{Kind, Spec};
+use crate::protocol::{Kind, Priority, Spec};
 use std::collections::HashMap;
 
 /// A job with tasks to start.
@@ -19,9 +19,9 @@
     pub estimate_s: f64,
 }
 
-/// A task running ahead of an earlier job.
+/// A running task that may have to make room.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Backfilled {
+pub struct Victim {
     /// Job.
     pub job: String,
     /// Task.
@@ -32,6 +32,12 @@
     pub need: Amounts,
     /// Order of its start; later is larger.
     pub order: u64,
+    /// Started ahead of an earlier job.
+    pub backfilled: bool,
+    /// Its job's priority.
+    pub priority: Priority,
+    /// It can save when it is stopped, so little is lost.
+    pub saves: bool,
 }
 
 /// A team's room: what it may still take.
@@ -64,8 +70,10 @@
 pub struct Plan {
     /// Tasks to start.
     pub places: Vec<Place>,
-    /// Backfilled tasks to stop: job and task.
+    /// Tasks to stop: job and task.
     pub stops: Vec<(String, u32)>,
+    /// Machines on which room is being made, and for which job.
+    pub reserved: Vec<(usize, String)>,
     /// What found no room.
     pub lacks: Vec<Lack>,
 }
@@ -95,7 +103,7 @@
 pub fn pass(
     items: &[Item<'_>],
     hosts: &mut [Host],
-    backfilled: &[Backfilled],
+    victims: &[Victim],
     room: &mut Room,
     b_max: &mut f64,
     most: usize,
@@ -130,13 +138,10 @@
             job: item.id.to_string(),
             tasks: short,
         });
-        if item.spec.kind == Kind::Service {
-            continue;
-        }
-        if !blocked && item.spec.kind == Kind::Gang && plan.places.len() == before {
-            make_way(item, hosts, backfilled, &mut plan);
+        if item.spec.kind != Kind::Array && plan.places.len() == before {
+            make_way(item, hosts, victims, !blocked, &mut plan);
         }
-        blocked = true;
+        blocked |= item.spec.kind != Kind::Service;
     }
     later.sort_by(|a, b| a.estimate_s.total_cmp(&b.estimate_s));
     for item in later {
@@ -150,6 +155,9 @@
                 job: item.id.to_string(),
                 tasks: short,
             });
+            if item.spec.kind == Kind::Gang {
+                make_way(item, hosts, victims, false, &mut plan);
+            }
         }
     }
     plan
@@ -171,7 +179,7 @@
         if may < n {
             return 0;
         }
-        let Some(found) = placement::gang(hosts, spec, n, ratio) else {
+        let Some(found) = placement::gang(hosts, item.id, spec, n, ratio) else {
             return n;
         };
         for (task, host) in item.tasks.iter().zip(found) {
@@ -195,8 +203,8 @@
         };
         let apart =
             |h: &Host| spec.kind != Kind::Service || present.iter().all(|(_, m)| *m != h.name);
-        let found = placement::single(hosts, spec, ratio, |_, h| fits(h) && apart(h))
-            .or_else(|| placement::single(hosts, spec, ratio, |_, h| fits(h)));
+        let found = placement::single(hosts, item.id, spec, ratio, |_, h| fits(h) && apart(h))
+            .or_else(|| placement::single(hosts, item.id, spec, ratio, |_, h| fits(h)));
         let Some(host) = found else {
             return may.min(n) - k as u32;
         };
@@ -212,19 +220,58 @@
     0
 }
 
-/// If the top gang fits once backfilled tasks are gone, stops those on its room, latest first.
-fn make_way(item: &Item<'_>, hosts: &[Host], backfilled: &[Backfilled], plan: &mut Plan) {
-    if backfilled.is_empty() {
+/// If a blocked job fits once others are gone, stops those on its room, latest first: what was
+/// backfilled, for the job at the top; and what has a lower priority, if it can save or makes
+/// room for replicas. The machines are kept for the job until it has started.
+fn make_way(item: &Item<'_>, hosts: &[Host], victims: &[Victim], top: bool, plan: &mut Plan) {
+    let kept = |h: &Host| h.reserved.as_deref() == Some(item.id);
+    if hosts.iter().any(kept) {
+        return;
+    }
+    let service = item.spec.kind == Kind::Service;
+    let may = |v: &&Victim| {
+        let lower = v.priority < item.spec.priority && (v.saves || service);
+        hosts[v.host].reserved.is_none()
+            && plan.reserved.iter().all(|(h, _)| *h != v.host)
+            && ((top && !service && v.backfilled) || lower)
+    };
+    let victims: Vec<&Victim> = victims.iter().filter(may).collect();
+    if victims.is_empty() {
         return;
     }
     let mut without: Vec<Host> = hosts.to_vec();
-    for b in backfilled {
-        for (free, n) in without[b.host].free.iter_mut().zip(b.need) {
+    for (h, _) in &plan.reserved {
+        without[*h].open = false;
+    }
+    for v in &victims {
+        for (free, n) in without[v.host].free.iter_mut().zip(v.need) {
             *free += n;
         }
     }
     let need = need(item.spec);
-    let Some(found) = placement::gang(&without, item.spec, item.tasks.len() as u32, 1.0) else {
+    let n = if service { 1 } else { item.tasks.len() as u32 };
+    // For one task the fullest machine serves, so that as few as possible have to go.
+    let found = if n == 1 {
+        let present = &item.present;
+        let fits = |h: &Host| {
+            let in_zone = present.iter().filter(|(z, _)| *z == h.zone).count() as u32;
+            !(item.spec.one_zone && present.iter().any(|(z, _)| *z != h.zone))
+                && !(item.spec.spread && in_zone >= item.spec.tasks.div_ceil(2))
+        };
+        let lost = |i: usize| (without[i].free[1] - hosts[i].free[1]).max(0.0);
+        (0..without.len())
+            .filter(|i| fits(&without[*i]) && placement::may_take(&without[*i], item.id, item.spec))
+            .min_by(|a, b| {
+                let image = |i: usize| !without[i].images.contains(&item.spec.image);
+                (lost(*a), image(*a))
+                    .partial_cmp(&(lost(*b), image(*b)))
+                    .unwrap_or(std::cmp::Ordering::Equal)
+            })
+            .map(|i| vec![i])
+    } else {
+        placement::gang(&without, item.id, item.spec, n, 1.0)
+    };
+    let Some(found) = found else {
         return;
     };
     let mut by_host: HashMap<usize, u32> = HashMap::new();
@@ -233,16 +280,17 @@
     }
     for (h, n) in by_host {
         let mut free = hosts[h].free;
-        let mut here: Vec<&Backfilled> = backfilled.iter().filter(|b| b.host == h).collect();
-        here.sort_by_key(|b| std::cmp::Reverse(b.order));
-        for b in here {
+        let mut here: Vec<&&Victim> = victims.iter().filter(|v| v.host == h).collect();
+        here.sort_by_key(|v| std::cmp::Reverse(v.order));
+        for v in here {
             if slots(&free, &need) >= n {
                 break;
             }
-            for (f, n) in free.iter_mut().zip(b.need) {
+            for (f, n) in free.iter_mut().zip(v.need) {
                 *f += n;
             }
-            plan.stops.push((b.job.clone(), b.task));
+            plan.stops.push((v.job.clone(), v.task));
         }
+        plan.reserved.push((h, item.id.to_string()));
     }
 }
