--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -1,7 +1,7 @@
 //! A copy of our records in the state service, fed by listings, watches and own commits.
 
 use crate::protocol::records::{
-    CHUNK, CHUNKS, Chunk, Entry, JOBS, JobRec, LEAD, LIVE, LeadRec, RENEWALS, RenewRec, Stage,
+    BASE, CHUNK, CHUNKS, Chunk, Entry, JOBS, JobRec, LEAD, LIVE, LeadRec, RENEWALS, RenewRec, Stage,
     TYPES,
 };
 use crate::protocol::wire::{ItemPage, MachineType, MachineTypes, WatchAnswer, from_value};
@@ -89,6 +89,8 @@
     pub live: Option<u64>,
     /// Machine types.
     pub types: Option<Vec<MachineType>>,
+    /// How many machines were up before we rented any, once that has been seen.
+    pub base: Option<u64>,
     /// Jobs that matter.
     pub jobs: BTreeMap<String, Job>,
     /// What followers renew, by node, with the record's version.
@@ -180,6 +182,8 @@
             if let Some(t) = from_value::<MachineTypes>(&value) {
                 self.types = Some(t.types);
             }
+        } else if key == BASE {
+            self.base = from_value::<u64>(&value);
         } else if let Some(node) = key.strip_prefix(RENEWALS) {
             if self.renewals.get(node).is_none_or(|(_, v)| *v < version)
                 && let Some(rec) = from_value::<RenewRec>(&value)
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,11 +1,11 @@
 //! Machines: renting, adopting, giving up and returning them.
 
 use super::leader::sick;
-use super::node::{CallTag, Clock, Node, Tag, put};
+use super::node::{CallTag, Clock, Node, Tag, cond, put};
 use super::placement::{self, Host, allowed, need, slots};
 use crate::bookkeeping::pace::Pace;
 use crate::bookkeeping::store::{Ask, Rank};
-use crate::protocol::records::{Stage, TYPES};
+use crate::protocol::records::{BASE, LEAD, Stage, TYPES};
 use crate::protocol::wire::{
     MachineNames, MachinePage, MachineState, MachineType, MachineTypes, Rent, Report, Txn, decode,
     encode,
@@ -356,6 +356,15 @@
             f.list_at = now + LIST_EVERY;
             f.listed_once = true;
         }
+        if !page.more && self.mirror.base.is_none() {
+            // Written once and for all: nothing is rented before the first list has been read.
+            let n = (f.machines.len().max(page.machines.len())) as u64;
+            let txn = Txn {
+                conds: vec![cond(LEAD, l.version), cond(BASE, 0)],
+                changes: vec![put(BASE, &n, None)],
+            };
+            self.store.ask(Rank::Usual, Tag::Types, Ask::Txn(txn));
+        }
         for m in page.machines {
             if f.gone.contains(&m.id) {
                 if m.state == MachineState::Failed && !f.machines.contains_key(&m.id) {
@@ -514,6 +523,12 @@
         let free: HashMap<&str, &Host> = rest.iter().map(|h| (h.name.as_str(), h)).collect();
         let names: Vec<String> = l.fleet.machines.keys().cloned().collect();
         let learning = Micros::secs(self.settings.params.workers.cancel_s * 1.2);
+        // An operator who keeps machines up before there is work holds spare room worth its price.
+        let patience = if self.mirror.base.unwrap_or(0) > 0 {
+            Micros::secs(self.policy.idle_return_kept_s)
+        } else {
+            Micros::secs(self.policy.idle_return_s)
+        };
         let mut idle = 0usize;
         for name in names {
             let Some(m) = l.fleet.machines.get(&name) else {
@@ -560,7 +575,6 @@
                 continue;
             }
             idle += 1;
-            let patience = Micros::secs(self.policy.idle_return_s);
             let long = w.idle_since.is_some_and(|t| now.since(t) > patience)
                 && now.since(l.since) > patience;
             if long && !lacking && idle as f64 > self.policy.keep_idle {
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -247,6 +247,7 @@
                     };
                     let (rec, conns) = (a.rec.clone(), std::mem::take(&mut a.conns));
                     self.forget_accepting(&id);
+                    log::debug!("{id} accepted: {} of {}", rec.spec.tasks, rec.spec.class);
                     self.mirror.put_job(&id, rec, *rev);
                     if let Some(l) = &mut self.leader {
                         l.dirty = true;
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -322,6 +322,16 @@
                     w.errors.clear();
                 }
             }
+            if fresh {
+                log::debug!(
+                    "{name}: {}/{} attempt {} is {:?} {:?}",
+                    t.job,
+                    t.task,
+                    t.attempt,
+                    t.phase,
+                    t.why
+                );
+            }
             if t.phase != Phase::Exited {
                 continue;
             }
@@ -771,6 +781,18 @@
                 job.entry(p.task).map_or(0, Entry::attempt)
             } + 1;
             let h = &hosts[p.host];
+            log::debug!(
+                "{}/{} attempt {attempt} goes to {}{}{}",
+                p.job,
+                p.task,
+                h.name,
+                if h.images.contains(&job.rec.spec.image) {
+                    ""
+                } else {
+                    ", which lacks its image"
+                },
+                if p.backfilled { ", backfilled" } else { "" }
+            );
             l.started += 1;
             l.order_of.insert((p.job.clone(), p.task), l.started);
             l.stopping.remove(&(p.job.clone(), p.task));
--- a/src/coordination/policy.rs
+++ b/src/coordination/policy.rs
@@ -10,6 +10,8 @@
     pub pass_interval_s: f64,
     /// Idle machines are returned after this long.
     pub idle_return_s: f64,
+    /// The same where machines were up before the first job came.
+    pub idle_return_kept_s: f64,
     /// Machines kept although idle.
     pub keep_idle: f64,
     /// A boot that takes this many times as long as usual is given up.
@@ -24,7 +26,8 @@
     fn default() -> Policy {
         Policy {
             pass_interval_s: 1.0,
-            idle_return_s: 60.0,
+            idle_return_s: 15.0,
+            idle_return_kept_s: 300.0,
             keep_idle: 0.0,
             boot_patience: 4.0,
             sick_after: 2.0,
@@ -118,6 +121,7 @@
             let (slot, least, most) = match field.as_str() {
                 "pass_interval_s" => (&mut policy.pass_interval_s, 0.1, 10.0),
                 "idle_return_s" => (&mut policy.idle_return_s, 5.0, 86_400.0),
+                "idle_return_kept_s" => (&mut policy.idle_return_kept_s, 5.0, 86_400.0),
                 "keep_idle" => (&mut policy.keep_idle, 0.0, 10_000.0),
                 "boot_patience" => (&mut policy.boot_patience, 1.5, 100.0),
                 "sick_after" => (&mut policy.sick_after, 1.0, 100.0),
--- a/src/protocol/records.rs
+++ b/src/protocol/records.rs
@@ -11,6 +11,8 @@
 pub const LIVE: &str = "wt/live";
 /// Machine types as last seen.
 pub const TYPES: &str = "wt/types";
+/// How many machines were up before we rented any.
+pub const BASE: &str = "wt/base";
 /// Jobs.
 pub const JOBS: &str = "wt/j/";
 /// Chunks of large jobs.
