--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -255,8 +255,9 @@
         let present = &item.present;
         let fits = |h: &Host| {
             let in_zone = present.iter().filter(|(z, _)| *z == h.zone).count() as u32;
-            !(item.spec.one_zone && present.iter().any(|(z, _)| *z != h.zone))
-                && !(item.spec.spread && in_zone >= item.spec.tasks.div_ceil(2))
+            let apart = item.spec.one_zone && present.iter().any(|(z, _)| *z != h.zone);
+            let crowded = item.spec.spread && in_zone >= item.spec.tasks.div_ceil(2);
+            !apart && !crowded
         };
         let lost = |i: usize| (without[i].free[1] - hosts[i].free[1]).max(0.0);
         (0..without.len())
