--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -1,5 +1,7 @@
 //! An in-memory state service.
 
+#![allow(dead_code)]
+
 use rmpv::Value;
 use std::collections::BTreeMap;
 use walnuttrestle::protocol::wire::*;
