A worker fenced by a direct command is counted from then on, not from our last answer

A follower renewed a machine under the leader's term; the leader raised its term; its empty command showed the machine the new term without renewing, and the leader's own last answer, long past, was taken for the start of the lease. Excluded: the follower (its record named the machine throughout).

--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -6,7 +6,7 @@
 };
 use crate::protocol::wire::{ItemPage, MachineType, MachineTypes, WatchAnswer, from_value};
 use rmpv::Value;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A job that is not over, or whose tasks may still be somewhere.
 #[derive(Debug, Clone)]
@@ -94,11 +94,11 @@
     /// Jobs that matter.
     pub jobs: BTreeMap<String, Job>,
     /// What followers renew, by node, with the record's version.
-    pub renewals: HashMap<String, (RenewRec, u64)>,
-    over: HashMap<String, Final>,
-    orphans: HashMap<String, BTreeMap<u32, (Chunk, u64)>>,
+    pub renewals: BTreeMap<String, (RenewRec, u64)>,
+    over: BTreeMap<String, Final>,
+    orphans: BTreeMap<String, BTreeMap<u32, (Chunk, u64)>>,
     /// Keys met during a rereading, to find those deleted meanwhile.
-    met: Option<(HashSet<String>, u64)>,
+    met: Option<(BTreeSet<String>, u64)>,
     /// Counts changes of job records.
     pub generation: u64,
 }
@@ -139,7 +139,7 @@
     pub fn apply_page(&mut self, page: ItemPage) -> bool {
         let (met, _) = self
             .met
-            .get_or_insert_with(|| (HashSet::new(), page.revision));
+            .get_or_insert_with(|| (BTreeSet::new(), page.revision));
         for i in &page.items {
             met.insert(i.key.clone());
         }
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -7,7 +7,7 @@
 };
 use crate::protocol::{Micros, records};
 use crate::transport::{Call, NetCmd, Outcome};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 /// A request to the state service.
@@ -81,7 +81,7 @@
     requests: Pace,
     writes: Pace,
     queues: [VecDeque<Queued<T>>; 3],
-    flying: HashMap<u64, (T, Ask, Micros)>,
+    flying: BTreeMap<u64, (T, Ask, Micros)>,
 }
 
 impl<T> Store<T> {
@@ -92,7 +92,7 @@
             requests: Pace::new(rps, rps * 0.5),
             writes: Pace::new(wps, wps),
             queues: [VecDeque::new(), VecDeque::new(), VecDeque::new()],
-            flying: HashMap::new(),
+            flying: BTreeMap::new(),
         }
     }
 
--- a/src/bookkeeping/workers.rs
+++ b/src/bookkeeping/workers.rs
@@ -2,7 +2,7 @@
 
 use crate::protocol::Micros;
 use crate::protocol::wire::{Phase, Report, Why};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// A task as a worker last reported it.
 #[derive(Debug, Clone, PartialEq)]
@@ -62,6 +62,8 @@
     pub seq: u64,
     /// Highest term the worker had seen by its newest message.
     pub term: u64,
+    /// When we learnt that it has seen that term: until then others may have renewed its lease.
+    pub termed: Micros,
     /// When the cloud takes the machine, if it has said so.
     pub notice: Option<Micros>,
     /// Tasks in the newest message.
@@ -73,9 +75,9 @@
     /// Sessions up to this one are proven over.
     pub over: Option<u64>,
     /// Direct starts of the present session and term.
-    pub starts: HashMap<AttemptKey, Start>,
+    pub starts: BTreeMap<AttemptKey, Start>,
     /// When a stop was last sent.
-    pub stops: HashMap<AttemptKey, Micros>,
+    pub stops: BTreeMap<AttemptKey, Micros>,
     /// Direct commands are on their way.
     pub ordering: bool,
     /// Direct commands are not tried before this.
@@ -116,7 +118,10 @@
         }
         self.session = r.session;
         self.seq = r.seq;
-        self.term = self.term.max(r.term);
+        if r.term > self.term {
+            self.term = r.term;
+            self.termed = now;
+        }
         self.address = r.address.parse().ok();
         self.kind.clone_from(&r.kind);
         self.zone.clone_from(&r.zone);
@@ -165,13 +170,14 @@
             session: 0,
             seq: 0,
             term: 0,
+            termed: Micros::ZERO,
             notice: None,
             tasks: Vec::new(),
             heard: Micros::ZERO,
             answered: None,
             over: None,
-            starts: HashMap::new(),
-            stops: HashMap::new(),
+            starts: BTreeMap::new(),
+            stops: BTreeMap::new(),
             ordering: false,
             order_again: Micros::ZERO,
             images: Vec::new(),
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -12,7 +12,7 @@
 };
 use crate::protocol::{Kind, Micros, Spec};
 use crate::transport::Outcome;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A call to the cloud.
 #[derive(Debug, Clone)]
@@ -44,7 +44,7 @@
 /// The fleet, as the leader knows it.
 pub struct Fleet {
     machines: BTreeMap<String, Machine>,
-    gone: HashSet<String>,
+    gone: BTreeSet<String>,
     gone_order: VecDeque<String>,
     list_at: Micros,
     list_after: String,
@@ -52,8 +52,8 @@
     listed_once: bool,
     types_at: Micros,
     typing: bool,
-    refused: HashMap<(String, String, bool), Micros>,
-    renting: HashMap<String, (Rent, bool)>,
+    refused: BTreeMap<(String, String, bool), Micros>,
+    renting: BTreeMap<String, (Rent, bool)>,
     counter: u64,
     pace: Option<Pace>,
     wanted: VecDeque<CloudAsk>,
@@ -77,7 +77,7 @@
     pub fn new(clock: Clock) -> Fleet {
         Fleet {
             machines: BTreeMap::new(),
-            gone: HashSet::new(),
+            gone: BTreeSet::new(),
             gone_order: VecDeque::new(),
             list_at: clock.now,
             list_after: String::new(),
@@ -85,8 +85,8 @@
             listed_once: false,
             types_at: clock.now,
             typing: false,
-            refused: HashMap::new(),
-            renting: HashMap::new(),
+            refused: BTreeMap::new(),
+            renting: BTreeMap::new(),
             counter: 0,
             pace: None,
             wanted: VecDeque::new(),
@@ -407,7 +407,7 @@
         }
         f.refused.retain(|_, until| *until > now);
         let mut coming: Vec<Host> = Vec::new();
-        let mut count: HashMap<String, usize> = HashMap::new();
+        let mut count: BTreeMap<String, usize> = BTreeMap::new();
         let virtual_host = |kind: &str, zone: &str, spot: bool| {
             types.iter().find(|t| t.name == kind).map(|t| Host {
                 name: String::new(),
@@ -436,7 +436,7 @@
                 *count.entry(r.zone.clone()).or_default() += 1;
             }
         }
-        let mut orders: HashMap<(String, String, bool), u32> = HashMap::new();
+        let mut orders: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
         let most = self.policy.most_machines as usize;
         for (id, n) in lacks {
             let Some(job) = self.mirror.jobs.get(id) else {
@@ -494,8 +494,8 @@
 
     /// Zones most of whose machines have fallen silent: more likely cut off than dead. Their
     /// machines are worth waiting for as long as new ones would take to boot.
-    fn silent_zones(&self, clock: Clock) -> HashSet<String> {
-        let mut heard: HashMap<&str, (usize, usize)> = HashMap::new();
+    fn silent_zones(&self, clock: Clock) -> BTreeSet<String> {
+        let mut heard: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
         let quiet = Micros::secs(self.settings.params.workers.report_s * 2.5);
         for w in self.leader.iter().flat_map(|l| l.workers.values()) {
             let c = heard.entry(w.zone.as_str()).or_default();
@@ -520,7 +520,7 @@
         let now = clock.now;
         let silent_zones = self.silent_zones(clock);
         let Some(l) = &mut self.leader else { return };
-        let free: HashMap<&str, &Host> = rest.iter().map(|h| (h.name.as_str(), h)).collect();
+        let free: BTreeMap<&str, &Host> = rest.iter().map(|h| (h.name.as_str(), h)).collect();
         let names: Vec<String> = l.fleet.machines.keys().cloned().collect();
         let learning = Micros::secs(self.settings.params.workers.cancel_s * 1.2);
         // An operator who keeps machines up before there is work holds spare room worth its price.
@@ -636,8 +636,8 @@
 fn offer(
     spec: &Spec,
     types: &[MachineType],
-    refused: &HashMap<(String, String, bool), Micros>,
-    count: &HashMap<String, usize>,
+    refused: &BTreeMap<(String, String, bool), Micros>,
+    count: &BTreeMap<String, usize>,
 ) -> Option<(String, String, bool)> {
     let need = need(spec);
     let mut best: Option<(f64, usize, String, String, bool)> = None;
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -8,7 +8,7 @@
 use crate::protocol::records::{Chunk, JobRec, Stage, job_key};
 use crate::protocol::wire::{Change, JobState, MachineType, Txn, encode};
 use crate::protocol::{Kind, Micros, Settings, Spec};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// What waits for the copy to catch up.
 #[derive(Debug, Clone)]
@@ -57,7 +57,7 @@
     accepting: BTreeMap<String, Accepting>,
     order: Vec<String>,
     batches: usize,
-    cancelling: HashMap<String, Vec<u64>>,
+    cancelling: BTreeMap<String, Vec<u64>>,
 }
 
 /// A submission is given up after this long; its user waits 5 s.
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -12,7 +12,7 @@
 use crate::protocol::wire::{Phase, Report, ReportAnswer, Txn, Why};
 use crate::protocol::{Kind, Micros, Settings};
 use crate::transport::Outcome;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Changes wanted of a job's record.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -37,7 +37,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Trouble {
     /// Machines on which it has failed in a row.
-    pub machines: HashSet<String>,
+    pub machines: BTreeSet<String>,
     /// Not tried before this.
     pub again: Micros,
 }
@@ -61,14 +61,14 @@
     /// Wanted changes.
     pub edits: BTreeMap<String, Edit>,
     /// Transactions on their way.
-    pub batches: HashMap<u64, Batch>,
+    pub batches: BTreeMap<u64, Batch>,
     next_batch: u64,
     /// Tasks to be stopped, with the grace they get, and when the stop was first wanted.
-    pub stopping: HashMap<(String, u32), (f64, Micros)>,
+    pub stopping: BTreeMap<(String, u32), (f64, Micros)>,
     /// Gangs of which a member is lost, with the attempt: the others are not started any more.
-    pub broken_gangs: HashMap<String, u64>,
+    pub broken_gangs: BTreeMap<String, u64>,
     /// Jobs that fail.
-    pub troubles: HashMap<String, Trouble>,
+    pub troubles: BTreeMap<String, Trouble>,
     /// Something has changed that a pass should see.
     pub dirty: bool,
     /// Commands may be due.
@@ -78,19 +78,19 @@
     /// The leases of all machines that never reported to us have run out in the worst case.
     pub strangers_over: bool,
     /// Machines whose leases followers renew for us.
-    pub renewed: HashSet<String>,
-    renewed_seen: HashMap<String, (u64, Micros)>,
+    pub renewed: BTreeSet<String>,
+    renewed_seen: BTreeMap<String, (u64, Micros)>,
     /// Machines on which room is being made for a job, until when.
-    reserved: HashMap<String, (String, Micros)>,
+    reserved: BTreeMap<String, (String, Micros)>,
     revoking: bool,
     /// When to look for due commands again.
     pub orders_at: Micros,
-    placed: HashMap<String, Vec<(String, u32, u64, u64)>>,
+    placed: BTreeMap<String, Vec<(String, u32, u64, u64)>>,
     placed_at: Option<u64>,
     last_pass: Micros,
     b_max: f64,
     started: u64,
-    order_of: HashMap<(String, u32), u64>,
+    order_of: BTreeMap<(String, u32), u64>,
 }
 
 /// A worker unheard for this many report intervals gets no new tasks.
@@ -116,26 +116,26 @@
             workers: BTreeMap::new(),
             fleet: Fleet::new(clock),
             edits: BTreeMap::new(),
-            batches: HashMap::new(),
+            batches: BTreeMap::new(),
             next_batch: 0,
-            stopping: HashMap::new(),
-            broken_gangs: HashMap::new(),
-            troubles: HashMap::new(),
+            stopping: BTreeMap::new(),
+            broken_gangs: BTreeMap::new(),
+            troubles: BTreeMap::new(),
             dirty: true,
             orders_dirty: true,
             generation: 0,
             strangers_over: false,
-            renewed: HashSet::new(),
-            renewed_seen: HashMap::new(),
-            reserved: HashMap::new(),
+            renewed: BTreeSet::new(),
+            renewed_seen: BTreeMap::new(),
+            reserved: BTreeMap::new(),
             revoking: false,
             orders_at: Micros::ZERO,
-            placed: HashMap::new(),
+            placed: BTreeMap::new(),
             placed_at: None,
             last_pass: Micros::ZERO,
             b_max: 0.0,
             started: 0,
-            order_of: HashMap::new(),
+            order_of: BTreeMap::new(),
         }
     }
 
@@ -209,10 +209,13 @@
                 continue;
             }
             // Until it has seen our term, an older leader may have renewed its lease.
-            let end = match worker.answered {
-                Some(a) if worker.term == self.term => a + lease,
-                Some(a) => (a + lease).max(first),
-                None => first,
+            // Direct commands show it our term as well, and renew nothing: an older term's (or, after
+            // we raised our own, a follower's) last answer may then be as young as that.
+            let answered = worker.answered.unwrap_or(Micros::ZERO);
+            let end = if worker.term == self.term {
+                answered.max(worker.termed) + lease
+            } else {
+                (answered + lease).max(first)
             };
             if end <= now && mirror.renewed(self.term, name) {
                 // A follower keeps its lease alive, and will tell when it no longer does.
@@ -551,7 +554,7 @@
     fn pass(&mut self, clock: Clock) {
         let Some(l) = &mut self.leader else { return };
         let fresh = Micros::secs(self.settings.params.workers.report_s * FRESH_REPORTS);
-        let types: HashMap<&str, placement::Amounts> = self
+        let types: BTreeMap<&str, placement::Amounts> = self
             .mirror
             .types
             .iter()
@@ -559,7 +562,7 @@
             .map(|t| (t.name.as_str(), [t.cpus, t.gpus, t.memory_gb]))
             .collect();
         let mut hosts: Vec<Host> = Vec::new();
-        let mut index: HashMap<String, usize> = HashMap::new();
+        let mut index: BTreeMap<String, usize> = BTreeMap::new();
         for (name, w) in &l.workers {
             let Some(total) = types.get(w.kind.as_str()) else {
                 continue;
@@ -600,7 +603,7 @@
         let mut cleans: Vec<String> = Vec::new();
         let mut dones: Vec<(String, u32)> = Vec::new();
         let mut stops: Vec<(String, u32, f64)> = Vec::new();
-        let mut known: HashSet<(String, u32, u64)> = HashSet::new();
+        let mut known: BTreeSet<(String, u32, u64)> = BTreeSet::new();
         for (id, job) in &self.mirror.jobs {
             let spec = &job.rec.spec;
             let need = placement::need(spec);
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -16,7 +16,7 @@
 use crate::transport::{Call, NetCmd, NetEvent, Outcome};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// The steady clock and the time of day.
 #[derive(Debug, Clone, Copy)]
@@ -126,7 +126,7 @@
     pub out: Vec<NetCmd>,
     /// Number of the last call.
     pub next_id: u64,
-    calls: HashMap<u64, CallTag>,
+    calls: BTreeMap<u64, CallTag>,
     claim: ClaimState,
     lease: Option<u64>,
     renew_at: Micros,
@@ -140,7 +140,7 @@
     heartbeat_at: Micros,
     heartbeat_flying: Vec<bool>,
     leader_heard: Option<(String, Micros)>,
-    sibling_view: HashMap<String, (Micros, Option<u64>)>,
+    sibling_view: BTreeMap<String, (Micros, Option<u64>)>,
     /// Highest term that anybody has shown us; below it we never lead, whatever an old copy says.
     highest: u64,
 }
@@ -165,7 +165,7 @@
             renewals: Renewals::default(),
             out: Vec::new(),
             next_id: 0,
-            calls: HashMap::new(),
+            calls: BTreeMap::new(),
             claim: ClaimState::Idle,
             lease: None,
             renew_at: Micros::FAR,
@@ -179,7 +179,7 @@
             heartbeat_at: clock.now,
             heartbeat_flying: vec![false; siblings],
             leader_heard: None,
-            sibling_view: HashMap::new(),
+            sibling_view: BTreeMap::new(),
             highest: 0,
         }
     }
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -2,7 +2,7 @@
 
 use super::placement::{self, Amounts, Host, need, slots};
 use crate::protocol::{Kind, Priority, Spec};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// A job with tasks to start.
 #[derive(Debug)]
@@ -41,7 +41,7 @@
 }
 
 /// A team's room: what it may still take.
-pub type Room = HashMap<String, [f64; 2]>;
+pub type Room = BTreeMap<String, [f64; 2]>;
 
 /// A start that the pass decided on.
 #[derive(Debug, Clone, PartialEq)]
@@ -275,7 +275,7 @@
     let Some(found) = found else {
         return;
     };
-    let mut by_host: HashMap<usize, u32> = HashMap::new();
+    let mut by_host: BTreeMap<usize, u32> = BTreeMap::new();
     for h in found {
         *by_host.entry(h).or_default() += 1;
     }
--- a/src/coordination/renewal.rs
+++ b/src/coordination/renewal.rs
@@ -15,7 +15,7 @@
 use crate::protocol::records::{LEAD, RenewRec, Stage, renew_key};
 use crate::protocol::wire::{Command, Misdirected, Phase, Report, ReportAnswer, Txn, encode};
 use crate::transport::{NetCmd, Outcome};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What a follower renews.
 #[derive(Default)]
@@ -23,7 +23,7 @@
     /// Machines, with the time of our last answer.
     machines: BTreeMap<String, Micros>,
     /// Machines named by the record as committed.
-    recorded: HashSet<String>,
+    recorded: BTreeSet<String>,
     /// Term and version of the leader's record that ours is conditional on.
     under: (u64, u64),
     /// Version of our record.
@@ -33,9 +33,9 @@
     written: Micros,
     flying: bool,
     waiting: Vec<(u64, Report)>,
-    redirected: HashMap<String, Micros>,
+    redirected: BTreeMap<String, Micros>,
     /// Machines whose reports are handed on to the leader, until when.
-    relayed: HashMap<String, Micros>,
+    relayed: BTreeMap<String, Micros>,
 }
 
 /// A leader unheard for this long may be out of reach for the workers here, too.
@@ -331,7 +331,7 @@
         r.machines.retain(|_, t| clock.now.since(*t) < lease);
         if r.machines.len() != before {
             // No longer answered from this moment on, whatever becomes of the write.
-            let left: HashSet<String> = r.machines.keys().cloned().collect();
+            let left: BTreeSet<String> = r.machines.keys().cloned().collect();
             r.recorded.retain(|m| left.contains(m));
         }
         let sign = r.written + SIGN_OF_LIFE;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use store::FakeStore;
 use walnuttrestle::coordination::node::{Clock, Node};
 use walnuttrestle::coordination::policy::Policy;
@@ -87,30 +87,30 @@
 pub struct World {
     pub now: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
-    events: HashMap<u64, Ev>,
+    events: BTreeMap<u64, Ev>,
     serial: u64,
     nodes: Vec<Slot>,
     pub store: FakeStore,
-    watchers: HashMap<u64, (usize, u64, u64)>,
+    watchers: BTreeMap<u64, (usize, u64, u64)>,
     pub workers: BTreeMap<String, FakeWorker>,
     booting: Vec<(u64, String, String, bool)>,
     pub cloud_down: bool,
     pub failed: BTreeSet<String>,
-    rented: HashMap<String, Vec<String>>,
-    rented_at: HashMap<String, u64>,
+    rented: BTreeMap<String, Vec<String>>,
+    rented_at: BTreeMap<String, u64>,
     machines: u64,
     pub deleted: BTreeSet<String>,
-    open: HashMap<(usize, u64, u64), ()>,
+    open: BTreeMap<(usize, u64, u64), ()>,
     cuts: Vec<(Party, Party, Cut, u64)>,
     pub lose_answers: Vec<(Party, u64)>,
     pub delay_orders: Option<u64>,
-    conns: HashMap<(usize, u64), Pending>,
+    conns: BTreeMap<(usize, u64), Pending>,
     pub jobs: BTreeMap<String, JobTruth>,
     pub said: Vec<(u64, String, u16, String)>,
     pub rng: ChaCha8Rng,
     pub starts: BTreeMap<String, u32>,
-    pub limits: HashMap<String, f64>,
-    told_final: HashMap<String, String>,
+    pub limits: BTreeMap<String, f64>,
+    told_final: BTreeMap<String, String>,
     pub on_break: Option<String>,
 }
 
@@ -197,30 +197,30 @@
         let mut w = World {
             now: SEC,
             queue: BinaryHeap::new(),
-            events: HashMap::new(),
+            events: BTreeMap::new(),
             serial: 0,
             nodes: Vec::new(),
             store: FakeStore::default(),
-            watchers: HashMap::new(),
+            watchers: BTreeMap::new(),
             workers: BTreeMap::new(),
             booting: Vec::new(),
             cloud_down: false,
             failed: BTreeSet::new(),
-            rented: HashMap::new(),
-            rented_at: HashMap::new(),
+            rented: BTreeMap::new(),
+            rented_at: BTreeMap::new(),
             machines: 0,
             deleted: BTreeSet::new(),
-            open: HashMap::new(),
+            open: BTreeMap::new(),
             cuts: Vec::new(),
             lose_answers: Vec::new(),
             delay_orders: None,
-            conns: HashMap::new(),
+            conns: BTreeMap::new(),
             jobs: BTreeMap::new(),
             said: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             starts: BTreeMap::new(),
-            limits: HashMap::from([("red".to_string(), 12.0)]),
-            told_final: HashMap::new(),
+            limits: BTreeMap::from([("red".to_string(), 12.0)]),
+            told_final: BTreeMap::new(),
             on_break: None,
         };
         for i in 0..nodes {
@@ -628,7 +628,7 @@
     }
 
     fn check_all(&mut self) {
-        let mut used: HashMap<&str, f64> = HashMap::new();
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
         let mut late = None;
         for w in self.workers.values() {
             for ((task, _), _) in w.holds() {
@@ -739,14 +739,19 @@
     fn worker_tick(&mut self, name: &str) {
         let now = self.now;
         let nodes = self.nodes.len();
-        if self.hung(name).is_some() || !self.workers[name].alive {
+        if !self.workers[name].alive {
             return;
         }
+        // A lease runs out on a hung machine, too: only within it may the machine continue.
         let w = self.workers.get_mut(name).unwrap();
         if now > w.lease_from + LEASE_S * SEC {
             w.kill_all();
             w.lease_from = now;
         }
+        if self.hung(name).is_some() {
+            return;
+        }
+        let w = self.workers.get_mut(name).unwrap();
         // Phases that end by themselves.
         let due: Vec<worker::Key> = w
             .tasks
@@ -887,7 +892,7 @@
                 }
             }
             if let Some(b) = &self.on_break {
-                panic!("{b}");
+                panic!("{b}\n{}", self.dump());
             }
         }
         self.now = end;
@@ -1160,7 +1165,7 @@
     // ---- what stories ask --------------------------------------------------------------
 
     /// Machines a task is on.
-    pub fn on(&self, task: &str) -> HashSet<String> {
+    pub fn on(&self, task: &str) -> BTreeSet<String> {
         self.workers
             .values()
             .filter(|w| w.holds().any(|((t, _), _)| t == task))
@@ -1190,7 +1195,7 @@
 impl World {
     /// For people who look into a failure.
     pub fn dump(&self) -> String {
-        let mut out = format!("now {:.3}\n", self.now as f64 / 1e6);
+        let mut out = format!("now {:.3}, cuts {:?}\n", self.now as f64 / 1e6, self.cuts);
         for (i, s) in self.nodes.iter().enumerate() {
             let Some(n) = &s.node else {
                 out += &format!("node {i}: down\n");
