--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -652,7 +652,7 @@
                 if !allowed(spec, &t.name, zone, spot) || refused.contains_key(&key) {
                     continue;
                 }
-                let price = if spot { t.spot_price } else { t.price } / n as f64;
+                let price = if spot { t.price * 1.01 } else { t.price } / n as f64;
                 let here = if spec.one_zone && spec.tasks > 1 {
                     0
                 } else {
