--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -101,6 +101,8 @@
 const FORGIVE: Micros = Micros::millis(60_000);
 /// Room made for a job is kept for it this long; stops take a save and a report or two.
 const RESERVED: Micros = Micros::millis(20_000);
+/// With nothing new, a pass comes this often all the same.
+const QUIET_PASS: Micros = Micros::millis(5_000);
 /// Most places of one pass.
 const PLACES: usize = 64;
 
@@ -195,7 +197,12 @@
             .renewals
             .values()
             .filter(|(r, _)| r.term == self.term);
-        self.renewed = ours.flat_map(|(r, _)| r.machines.iter().cloned()).collect();
+        let renewed = ours.flat_map(|(r, _)| r.machines.iter().cloned()).collect();
+        if renewed != self.renewed {
+            // A machine that nobody renews any more may be proven gone by that alone.
+            self.renewed = renewed;
+            self.dirty = true;
+        }
         if !self.strangers_over {
             if first <= now {
                 self.strangers_over = true;
@@ -503,6 +510,11 @@
         let mut next = Micros::FAR;
         if let Some(l) = &mut self.leader {
             next = next.min(l.leases(&self.settings, &self.mirror, now));
+            // Machines are given up and returned by time, not by events: a pass comes now and
+            // then in any case.
+            if now.since(l.last_pass) > QUIET_PASS {
+                l.dirty = true;
+            }
             if l.dirty {
                 let at = l.last_pass + pace;
                 if at <= now && now < l.proof + START_PROOF {
