--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -402,7 +402,8 @@
         self.give_up(clock, rest, &types, lag, !lacks.is_empty());
         let Some(l) = &mut self.leader else { return };
         let f = &mut l.fleet;
-        if !f.listed_once {
+        // Nothing is rented before it is on record what was there without us.
+        if !f.listed_once || self.mirror.base.is_none() {
             return;
         }
         f.refused.retain(|_, until| *until > now);
