--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -652,6 +652,22 @@
                         if !hosts[h].images.contains(&spec.image) {
                             hosts[h].images.push(spec.image.clone());
                         }
+                        // A machine that the cloud is about to take: what can save does so now,
+                        // a gang as a whole.
+                        let notice = l.workers.get(m).and_then(|w| w.notice);
+                        let save = grace(job);
+                        if save > 0.0
+                            && notice.is_some_and(|n| n > clock.now + Micros::secs(spec.save_s))
+                            && s == Standing::There(Phase::Running)
+                        {
+                            let whole = spec.kind == Kind::Gang;
+                            let all = if whole {
+                                0..spec.tasks
+                            } else {
+                                e.task()..e.task() + 1
+                            };
+                            stops.extend(all.map(|t| (id.clone(), t, save)));
+                        }
                         let going = l.stopping.contains_key(&(id.clone(), e.task()));
                         let single = spec.kind == Kind::Array || spec.tasks == 1;
                         if spec.kind != Kind::Service && job.active() && !going && !in_flight {
