--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -66,6 +66,8 @@
     pub stage: Stage,
     /// Its number of tasks.
     pub tasks: u32,
+    /// Version of its record.
+    pub version: u64,
 }
 
 /// What is known of a job.
@@ -99,8 +101,12 @@
     orphans: BTreeMap<String, BTreeMap<u32, (Chunk, u64)>>,
     /// Keys met during a rereading, to find those deleted meanwhile.
     met: Option<(BTreeSet<String>, u64)>,
-    /// Counts changes of job records.
-    pub generation: u64,
+    /// Counts changes of the renewals.
+    pub renewals_changed: u64,
+    /// Jobs whose records have changed since somebody last took the list.
+    changed: BTreeSet<String>,
+    /// Tasks with an attempt on record, by machine.
+    placed: BTreeMap<String, BTreeSet<(String, u32)>>,
 }
 
 impl Mirror {
@@ -112,11 +118,42 @@
         self.jobs.get(id).map(Known::Live)
     }
 
-    /// Whether a follower renews this machine's lease for the leader with this term.
-    pub fn renewed(&self, term: u64, machine: &str) -> bool {
-        self.renewals
-            .values()
-            .any(|(r, _)| r.term == term && r.machines.iter().any(|m| m == machine))
+    /// Jobs whose records have changed since the last call.
+    pub fn take_changed(&mut self) -> BTreeSet<String> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Tasks that have an attempt on record on this machine. Kept up with every record, so that
+    /// looking at one machine does not cost a walk over all jobs.
+    pub fn placed(&self, machine: &str) -> impl Iterator<Item = &(String, u32)> {
+        self.placed.get(machine).into_iter().flatten()
+    }
+
+    /// Brings the index by machine from a chunk's old entries to its new ones.
+    fn relink(&mut self, id: &str, old: &[Entry], new: &[Entry]) {
+        let at = |list: &[Entry], e: &Entry| {
+            list.binary_search_by_key(&e.task(), Entry::task)
+                .is_ok_and(|i| list[i].machine() == e.machine())
+        };
+        for e in old {
+            if let Some(m) = e.machine()
+                && !at(new, e)
+                && let Some(set) = self.placed.get_mut(m)
+            {
+                set.remove(&(id.to_string(), e.task()));
+                if set.is_empty() {
+                    self.placed.remove(m);
+                }
+            }
+        }
+        for e in new {
+            if let Some(m) = e.machine()
+                && !at(old, e)
+            {
+                let set = self.placed.entry(m.to_string()).or_default();
+                set.insert((id.to_string(), e.task()));
+            }
+        }
     }
 
     /// Applies a watch's answer.
@@ -189,8 +226,13 @@
                 && let Some(rec) = from_value::<RenewRec>(&value)
             {
                 self.renewals.insert(node.to_string(), (rec, version));
+                self.renewals_changed += 1;
             }
         } else if let Some(id) = key.strip_prefix(JOBS) {
+            if self.newest(id) >= version {
+                // Our own commit, come back by the watch: not worth reading.
+                return;
+            }
             match from_value::<JobRec>(&value) {
                 Some(rec) => self.put_job(id, rec, version),
                 None => log::error!("mirror: the record of {id} cannot be read"),
@@ -204,16 +246,26 @@
         }
     }
 
+    /// Version of the job's record that we hold, 0: none.
+    fn newest(&self, id: &str) -> u64 {
+        let live = self.jobs.get(id).map(|j| j.version);
+        live.or_else(|| self.over.get(id).map(|f| f.version))
+            .unwrap_or(0)
+    }
+
     /// Puts a job's record.
     pub fn put_job(&mut self, id: &str, rec: JobRec, version: u64) {
-        if self.jobs.get(id).is_some_and(|j| j.version >= version) {
+        // A watch may still bring what came before our own last commit: a job that is over must
+        // not come back to life by it.
+        if self.newest(id) >= version {
             return;
         }
-        self.generation += 1;
-        let mut chunks = match self.jobs.remove(id) {
-            Some(j) => j.chunks,
-            None => BTreeMap::new(),
+        self.changed.insert(id.to_string());
+        let (old, mut chunks) = match self.jobs.remove(id) {
+            Some(j) => (j.rec.first.entries, j.chunks),
+            None => (Vec::new(), BTreeMap::new()),
         };
+        self.relink(id, &old, &rec.first.entries);
         if let Some(o) = self.orphans.remove(id) {
             chunks.extend(o);
         }
@@ -230,13 +282,16 @@
         if self.over.contains_key(id) {
             return;
         }
-        self.generation += 1;
+        self.changed.insert(id.to_string());
         let chunks = match self.jobs.get_mut(id) {
             Some(j) => &mut j.chunks,
             None => self.orphans.entry(id.to_string()).or_default(),
         };
         if chunks.get(&n).is_none_or(|(_, v)| *v < version) {
-            chunks.insert(n, (chunk, version));
+            let new = chunk.entries.clone();
+            let old = chunks.insert(n, (chunk, version));
+            let old = old.map(|(c, _)| c.entries).unwrap_or_default();
+            self.relink(id, &old, &new);
         }
         if let Some(job) = self.jobs.remove(id) {
             self.keep(id, job);
@@ -250,6 +305,7 @@
             let f = Final {
                 stage: job.rec.stage,
                 tasks: job.rec.spec.tasks,
+                version: job.version,
             };
             self.over.insert(id.to_string(), f);
         } else {
@@ -266,12 +322,17 @@
         } else if let Some(node) = key.strip_prefix(RENEWALS) {
             if self.renewals.get(node).is_some_and(|(_, v)| *v < version) {
                 self.renewals.remove(node);
+                self.renewals_changed += 1;
             }
         } else if let Some(id) = key.strip_prefix(JOBS)
             && self.jobs.get(id).is_some_and(|j| j.version < version)
+            && let Some(job) = self.jobs.remove(id)
         {
-            self.jobs.remove(id);
-            self.generation += 1;
+            self.relink(id, &job.rec.first.entries, &[]);
+            for (c, _) in job.chunks.values() {
+                self.relink(id, &c.entries, &[]);
+            }
+            self.changed.insert(id.to_string());
         }
     }
 }
--- a/src/bookkeeping/pace.rs
+++ b/src/bookkeeping/pace.rs
@@ -42,6 +42,17 @@
         self.level >= n.min(self.burst) - 1e-9
     }
 
+    /// Permits a second.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// Permits that are there.
+    pub fn level(&mut self, now: Micros) -> f64 {
+        self.fill(now);
+        self.level
+    }
+
     /// Takes `n` permits; the level may go below zero for a request above the burst.
     pub fn take(&mut self, n: f64) {
         self.level -= n;
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -102,14 +102,44 @@
         self.writes.set(now, wps, wps);
     }
 
+    /// Our share of the budget of changes, a second.
+    pub fn write_rate(&self) -> f64 {
+        self.writes.rate().max(0.1)
+    }
+
+    /// Our share of the budget of requests, a second.
+    pub fn request_rate(&self) -> f64 {
+        self.requests.rate().max(0.1)
+    }
+
     /// Queues a request.
     pub fn ask(&mut self, rank: Rank, tag: T, ask: Ask) {
         self.queues[rank as usize].push_back(Queued { ask, tag });
     }
 
-    /// Requests waiting for their turn.
-    pub fn backlog(&self) -> usize {
-        self.queues.iter().map(VecDeque::len).sum()
+    /// How many of `most` wanted changes could be sent right now, behind what is queued already;
+    /// 0: none, and they had better go on gathering.
+    pub fn room_for(&mut self, now: Micros, most: usize) -> usize {
+        if self
+            .queues
+            .iter()
+            .flatten()
+            .any(|q| write_count(&q.ask) > 0.0)
+        {
+            return 0;
+        }
+        if !self.requests.ready(now, 1.0) {
+            return 0;
+        }
+        // A burst may be smaller than a transaction: then what it holds is as good as all.
+        let at_once = self.writes.level(now).floor().max(0.0) as usize;
+        at_once.min(most)
+    }
+
+    /// When `n` changes can be sent at once.
+    pub fn room_at(&self, now: Micros, n: usize) -> Micros {
+        let r = self.requests.when(now, 1.0);
+        r.max(self.writes.when(now, n as f64))
     }
 
     /// Sends what the budgets allow.
--- a/src/bookkeeping/workers.rs
+++ b/src/bookkeeping/workers.rs
@@ -42,6 +42,17 @@
     pub answer_to: Option<u64>,
 }
 
+/// What a message from a worker brought.
+#[derive(Debug, Clone, PartialEq)]
+pub enum News {
+    /// It is older than what we have.
+    Old,
+    /// Nothing but a sign of life.
+    None,
+    /// A change; these were the tasks before.
+    Changed(Vec<Seen>),
+}
+
 /// Names an attempt of a task on a worker.
 pub type AttemptKey = (String, u32, u64);
 
@@ -50,6 +61,8 @@
 pub struct Worker {
     /// Where direct commands go.
     pub address: Option<std::net::SocketAddr>,
+    /// The same as the worker wrote it.
+    shown_address: String,
     /// Machine type.
     pub kind: String,
     /// Zone.
@@ -106,11 +119,13 @@
 }
 
 impl Worker {
-    /// Takes over a report if it is newer than the last one; tells whether it was.
-    pub fn update(&mut self, r: &Report, now: Micros) -> bool {
+    /// Takes over a report if it is newer than the last one, and tells what it changed. Most
+    /// reports change nothing: those copy nothing either.
+    pub fn update(&mut self, r: &Report, now: Micros) -> News {
         if (r.session, r.seq) <= (self.session, self.seq) {
-            return false;
+            return News::Old;
         }
+        let before = (self.session, self.term, self.notice.is_some());
         if r.session > self.session {
             // A new session has none of the old tasks, and no command for the old one counts.
             self.starts.clear();
@@ -122,27 +137,40 @@
             self.term = r.term;
             self.termed = now;
         }
-        self.address = r.address.parse().ok();
-        self.kind.clone_from(&r.kind);
-        self.zone.clone_from(&r.zone);
+        if self.shown_address != r.address {
+            self.shown_address.clone_from(&r.address);
+            self.address = r.address.parse().ok();
+        }
+        if self.kind != r.kind || self.zone != r.zone {
+            self.kind.clone_from(&r.kind);
+            self.zone.clone_from(&r.zone);
+        }
         self.spot = r.spot;
         self.notice = r.notice_s.map(|s| now + Micros::secs(s));
         self.heard = now;
-        self.tasks = r
-            .tasks
-            .iter()
-            .filter_map(|t| {
-                let (job, task) = split_task(&t.task)?;
-                Some(Seen {
-                    job: job.to_string(),
-                    task,
-                    attempt: t.attempt,
-                    phase: t.phase,
-                    why: t.why,
-                })
+        let same = self.tasks.len() == r.tasks.len()
+            && self.tasks.iter().zip(&r.tasks).all(|(s, t)| {
+                (s.attempt, s.phase, s.why) == (t.attempt, t.phase, t.why)
+                    && split_task(&t.task).is_some_and(|(j, n)| s.task == n && s.job == j)
+            });
+        if same {
+            return if before == (self.session, self.term, self.notice.is_some()) {
+                News::None
+            } else {
+                News::Changed(self.tasks.clone())
+            };
+        }
+        let tasks = r.tasks.iter().filter_map(|t| {
+            let (job, task) = split_task(&t.task)?;
+            Some(Seen {
+                job: job.to_string(),
+                task,
+                attempt: t.attempt,
+                phase: t.phase,
+                why: t.why,
             })
-            .collect();
-        true
+        });
+        News::Changed(std::mem::replace(&mut self.tasks, tasks.collect()))
     }
 
     /// A report (not an answer to commands) with this number has come: starts sent with earlier
@@ -164,6 +192,7 @@
     pub fn new(r: &Report) -> Worker {
         Worker {
             address: None,
+            shown_address: String::new(),
             kind: r.kind.clone(),
             zone: r.zone.clone(),
             spot: r.spot,
@@ -198,10 +227,16 @@
         self.over.is_some_and(|o| self.session <= o)
     }
 
+    fn start_of(&self, job: &str, task: u32, attempt: u64) -> Option<&Start> {
+        if self.starts.is_empty() {
+            return None;
+        }
+        self.starts.get(&(job.to_string(), task, attempt))
+    }
+
     /// A start that may still be carried out although nobody waits for its answer.
     pub fn has_loose(&self, job: &str, task: u32, attempt: u64) -> bool {
-        self.starts
-            .get(&(job.to_string(), task, attempt))
+        self.start_of(job, task, attempt)
             .is_some_and(|s| s.loose && s.term >= self.term)
     }
 
@@ -230,7 +265,7 @@
             // An older term's start may still be on its way.
             return Standing::Unclear;
         }
-        match self.starts.get(&(job.to_string(), task, attempt)) {
+        match self.start_of(job, task, attempt) {
             None => Standing::NotStarted,
             // Sent with an older term of ours, which the worker no longer accepts.
             Some(s) if s.term < self.term => Standing::NotStarted,
--- /dev/null
+++ b/src/coordination/edits.rs
@@ -0,0 +1,347 @@
+//! The job records that the leader writes: wanted changes, gathered per job, and the transactions
+//! that carry them.
+//!
+//! A change is fixed only when the store can take it at once. Until then further news of the same
+//! job join it, so that a burst costs a write per job and not one per task.
+
+use super::front::{Waiter, put_job};
+use super::node::{Clock, Node, Tag, cond, put};
+use crate::bookkeeping::mirror::Job;
+use crate::bookkeeping::store::{Ask, Rank, Reply};
+use crate::protocol::records::{CHUNK, Chunk, Entry, JobRec, LEAD, Stage, chunk_key, job_key};
+use crate::protocol::wire::{Change, Cond, Txn};
+use crate::protocol::{Kind, Micros};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Changes wanted of a job's record.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Edit {
+    /// Tasks that are done.
+    pub done: BTreeSet<u32>,
+    /// New attempts.
+    pub places: Vec<Entry>,
+    /// The job is over and nothing of it is anywhere: drop its entries.
+    pub clean: bool,
+    /// When the first of these changes was wanted.
+    since: Micros,
+}
+
+/// A transaction of job records on its way.
+#[derive(Debug, Clone)]
+struct Batch {
+    jobs: Vec<String>,
+    txn: Txn,
+}
+
+/// Wanted and flying changes.
+#[derive(Debug, Default)]
+pub struct Edits {
+    wanted: BTreeMap<String, Edit>,
+    batches: BTreeMap<u64, Batch>,
+    /// Jobs in batches, with the places on their way. A job is in one batch at a time.
+    flying: BTreeMap<String, Vec<Entry>>,
+    next_batch: u64,
+}
+
+/// Some tasks of a job that are done wait this long for others; the worker keeps the result. A
+/// completed job does not wait, since its user may ask 3 s later.
+const MERGE_DONES: Micros = Micros::millis(4_000);
+/// Nobody waits for the entries of a job that is over.
+const CLEAN_LATER: Micros = Micros::millis(4_000);
+/// Replicas and gangs are waited for by the second, arrays by the minute.
+const ARRAYS_LATER: Micros = Micros::millis(500);
+/// Transactions in flight at once.
+const BATCHES: usize = 3;
+
+impl Edits {
+    /// The change wanted of a job, to be added to.
+    pub fn want(&mut self, id: &str, now: Micros) -> &mut Edit {
+        if !self.wanted.contains_key(id) {
+            let edit = Edit {
+                since: now,
+                ..Edit::default()
+            };
+            self.wanted.insert(id.to_string(), edit);
+        }
+        self.wanted.entry(id.to_string()).or_default()
+    }
+
+    /// The job's record is in a transaction that has not come back.
+    pub fn in_flight(&self, id: &str) -> bool {
+        self.flying.contains_key(id)
+    }
+
+    /// Places of a job that are not on record yet: they take room from the moment they are chosen.
+    pub fn places(&self, id: &str) -> impl Iterator<Item = &Entry> {
+        let flying = self.flying.get(id).into_iter().flatten();
+        flying.chain(self.wanted.get(id).into_iter().flat_map(|e| &e.places))
+    }
+
+    /// Whether a task's place is chosen and not on record yet: it is not started meanwhile, since
+    /// the attempt on record may just be replaced.
+    pub fn placing(&self, id: &str, task: u32) -> bool {
+        self.places(id).any(|e| e.task() == task)
+    }
+
+    /// Whether a task's end is about to be recorded.
+    pub fn finishing(&self, id: &str, task: u32) -> bool {
+        self.wanted.get(id).is_some_and(|e| e.done.contains(&task))
+    }
+
+    /// When a change may be written, and how it is ranked among those that may: who waits for it
+    /// decides. Waiting makes every change more urgent, so none waits for ever.
+    fn due(edit: &Edit, job: &Job) -> (Micros, Micros) {
+        let spec = &job.rec.spec;
+        let complete = job.done_count() + edit.done.len() as u64 >= spec.tasks as u64;
+        let at = edit.since;
+        if !edit.places.is_empty() {
+            let later = if spec.kind == Kind::Array {
+                ARRAYS_LATER
+            } else {
+                Micros::ZERO
+            };
+            (at, at + later)
+        } else if complete && !edit.done.is_empty() {
+            (at, at)
+        } else if !edit.done.is_empty() {
+            (at + MERGE_DONES, at + MERGE_DONES.times(2.0))
+        } else {
+            (at + CLEAN_LATER, at + CLEAN_LATER.times(3.0))
+        }
+    }
+
+    /// Forgets a transaction: what it brought is in the copy now, or is all found out again.
+    fn end(&mut self, n: u64) -> bool {
+        let Some(b) = self.batches.remove(&n) else {
+            return false;
+        };
+        for id in b.jobs {
+            self.flying.remove(&id);
+        }
+        true
+    }
+}
+
+impl Node {
+    /// How many changes of job records are due, and when the next one will be.
+    pub fn edits_due(&mut self, now: Micros) -> (usize, Micros) {
+        let Some(l) = &mut self.leader else {
+            return (0, Micros::FAR);
+        };
+        let jobs = &self.mirror.jobs;
+        l.edits.wanted.retain(|id, _| jobs.contains_key(id));
+        if l.edits.batches.len() >= BATCHES {
+            return (0, Micros::FAR);
+        }
+        let mut due = 0;
+        let mut next = Micros::FAR;
+        for (id, e) in &l.edits.wanted {
+            if l.edits.flying.contains_key(id) {
+                continue;
+            }
+            if let Some(job) = jobs.get(id) {
+                let (at, _) = Edits::due(e, job);
+                if at <= now {
+                    due += 1;
+                } else {
+                    next = next.min(at);
+                }
+            }
+        }
+        (due, next)
+    }
+
+    /// Writes the changes that have been due longest, several jobs a transaction, at most `most`
+    /// changes unless a single job needs more.
+    pub fn write_edits(&mut self, clock: Clock, most: usize) {
+        let Some(l) = &mut self.leader else { return };
+        let mut ready: Vec<(Micros, String)> = Vec::new();
+        for (id, e) in &l.edits.wanted {
+            if !l.edits.flying.contains_key(id)
+                && let Some(job) = self.mirror.jobs.get(id)
+            {
+                let (at, rank) = Edits::due(e, job);
+                if at <= clock.now {
+                    ready.push((rank, id.clone()));
+                }
+            }
+        }
+        ready.sort_unstable();
+        let mut conds = vec![cond(LEAD, l.version)];
+        let mut changes = Vec::new();
+        let mut jobs = Vec::new();
+        for (_, id) in ready {
+            let (Some(edit), Some(job)) = (l.edits.wanted.get(&id), self.mirror.jobs.get(&id))
+            else {
+                continue;
+            };
+            let (c, ch) = edited(&id, job, edit, clock);
+            if !changes.is_empty() && changes.len() + ch.len() > most {
+                break;
+            }
+            conds.extend(c);
+            changes.extend(ch);
+            let edit = l.edits.wanted.remove(&id).unwrap_or_default();
+            l.edits.flying.insert(id.clone(), edit.places);
+            jobs.push(id);
+            if changes.len() >= most {
+                break;
+            }
+        }
+        if changes.is_empty() {
+            return;
+        }
+        let txn = Txn { conds, changes };
+        l.edits.next_batch += 1;
+        let n = l.edits.next_batch;
+        let batch = Batch {
+            jobs,
+            txn: txn.clone(),
+        };
+        l.edits.batches.insert(n, batch);
+        self.store.ask(Rank::Usual, Tag::Edits(n), Ask::Txn(txn));
+    }
+
+    /// Job records came back.
+    pub fn on_edits(&mut self, clock: Clock, n: u64, ask: Ask, reply: Reply) {
+        if self
+            .leader
+            .as_ref()
+            .is_none_or(|l| !l.edits.batches.contains_key(&n))
+        {
+            return;
+        }
+        match reply {
+            Reply::Committed(rev) => {
+                if let Ask::Txn(t) = &ask {
+                    self.apply_own(t, rev);
+                }
+                self.end_batch(n);
+                self.on_changed_jobs();
+                self.send_orders(clock);
+            }
+            Reply::Refused => {
+                // Certainly not written; it is all found out again.
+                self.end_batch(n);
+            }
+            _ => self.want_barrier(clock, Waiter::Edits(n)),
+        }
+    }
+
+    fn end_batch(&mut self, n: u64) {
+        if let Some(l) = &mut self.leader
+            && l.edits.end(n)
+        {
+            l.dirty = true;
+        }
+    }
+
+    /// The copy has caught up after a failed or lost transaction. If what it changes still
+    /// stands at the old versions, it may yet be carried out: it is sent again as it was.
+    pub fn settle_edits(&mut self, n: u64) {
+        let Some(l) = &mut self.leader else { return };
+        let Some(batch) = l.edits.batches.get(&n) else {
+            return;
+        };
+        let holds = l.version == batch.txn.conds[0].version
+            && batch.jobs.iter().all(|id| {
+                let key = job_key(id);
+                let wanted = batch.txn.conds.iter().find(|c| c.key == key);
+                match (wanted, self.mirror.jobs.get(id)) {
+                    (Some(c), Some(j)) => c.version == j.version,
+                    (None, Some(_)) => true,
+                    _ => false,
+                }
+            });
+        if holds {
+            let txn = batch.txn.clone();
+            self.store.ask(Rank::Usual, Tag::Edits(n), Ask::Txn(txn));
+        } else {
+            self.end_batch(n);
+        }
+    }
+
+    /// The copy cannot catch up either; ask again later.
+    pub fn unsettled_edits(&mut self, n: u64) {
+        if let Some(l) = &self.leader
+            && let Some(b) = l.edits.batches.get(&n)
+        {
+            let txn = b.txn.clone();
+            self.store.ask(Rank::Last, Tag::Edits(n), Ask::Txn(txn));
+        }
+    }
+}
+
+/// A job's record with an edit applied: conditions and puts.
+fn edited(id: &str, job: &Job, edit: &Edit, clock: Clock) -> (Vec<Cond>, Vec<Change>) {
+    let mut rec: JobRec = job.rec.clone();
+    let mut chunks: BTreeMap<u32, Chunk> = BTreeMap::new();
+    if edit.clean {
+        // The job is over: what is left in further chunks no longer matters to anybody.
+        rec.first.entries.clear();
+        for (n, (c, _)) in &job.chunks {
+            if !c.entries.is_empty() {
+                let c = Chunk {
+                    entries: Vec::new(),
+                    done: c.done,
+                };
+                chunks.insert(*n, c);
+            }
+        }
+    }
+    if job.active() {
+        let touched = edit
+            .done
+            .iter()
+            .copied()
+            .chain(edit.places.iter().map(Entry::task));
+        for task in touched {
+            let n = task / CHUNK;
+            if n > 0 {
+                chunks
+                    .entry(n)
+                    .or_insert_with(|| job.chunk_of(task).cloned().unwrap_or_default());
+            }
+        }
+        let of = |task: u32,
+                  rec: &mut JobRec,
+                  chunks: &mut BTreeMap<u32, Chunk>,
+                  f: &dyn Fn(&mut Chunk)| {
+            match chunks.get_mut(&(task / CHUNK)) {
+                Some(c) => f(c),
+                None => f(&mut rec.first),
+            }
+        };
+        for e in &edit.places {
+            of(e.task(), &mut rec, &mut chunks, &|c| c.set(e.clone()));
+        }
+        for task in &edit.done {
+            of(*task, &mut rec, &mut chunks, &|c| c.finish(*task));
+        }
+        let done = rec.first.done.count_ones()
+            + job
+                .chunks
+                .iter()
+                .filter(|(n, _)| !chunks.contains_key(n))
+                .map(|(_, (c, _))| c.done.count_ones())
+                .sum::<u32>()
+            + chunks.values().map(|c| c.done.count_ones()).sum::<u32>();
+        if done >= rec.spec.tasks && rec.spec.kind != Kind::Service {
+            rec.stage = Stage::Done;
+            rec.end = clock.wall;
+        }
+    }
+    // The record's own version is a condition in any case: it shows that nobody cancelled.
+    let (c, p) = put_job(id, job, &rec);
+    let mut conds = vec![c];
+    let mut changes = Vec::new();
+    if rec != job.rec || chunks.is_empty() {
+        changes.push(p);
+    }
+    for (n, c) in chunks {
+        let key = chunk_key(id, n);
+        conds.push(cond(&key, job.chunks.get(&n).map_or(0, |(_, v)| *v)));
+        changes.push(put(&key, &c, None));
+    }
+    (conds, changes)
+}
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -2,7 +2,9 @@
 
 use super::leader::sick;
 use super::node::{CallTag, Clock, Node, Tag, cond, put};
-use super::placement::{self, Host, allowed, need, slots};
+use super::pass::Hosts;
+use super::placement::{self, Host, Names, Shape, allowed, slots};
+use super::queue::Lack;
 use crate::bookkeeping::pace::Pace;
 use crate::bookkeeping::store::{Ask, Rank};
 use crate::protocol::records::{BASE, LEAD, Stage, TYPES};
@@ -37,7 +39,6 @@
     running: bool,
     met: bool,
     leaving: bool,
-    deleting: bool,
     failed: bool,
 }
 
@@ -57,6 +58,8 @@
     counter: u64,
     pace: Option<Pace>,
     wanted: VecDeque<CloudAsk>,
+    /// Machines to be deleted, not yet asked for.
+    condemned: BTreeSet<String>,
 }
 
 /// Lists are read at this pace.
@@ -69,6 +72,11 @@
 const REFUSED_FOR: Micros = Micros::millis(15_000);
 /// How long a call may take.
 const CLOUD_TIMEOUT: Micros = Micros::millis(4000);
+/// Machines named in one deletion, and in one rental, at most.
+const DELETED_AT_ONCE: usize = 100;
+const RENTED_AT_ONCE: u32 = 50;
+/// Machines rented in one pass at most.
+const RENTED_A_PASS: u32 = 400;
 /// Names of machines that are gone, kept for late lists.
 const GONE_KEPT: usize = 4000;
 
@@ -90,6 +98,7 @@
             counter: 0,
             pace: None,
             wanted: VecDeque::new(),
+            condemned: BTreeSet::new(),
         }
     }
 
@@ -110,6 +119,10 @@
 
     /// Its worker has reported.
     pub fn met(&mut self, name: &str, r: &Report, now: Micros) {
+        if let Some(m) = self.machines.get_mut(name) {
+            m.met = true;
+            return;
+        }
         let m = self.machines.entry(name.to_string()).or_insert_with(|| {
             log::info!("{name}: met, a {} in {}", r.kind, r.zone);
             Machine {
@@ -120,7 +133,6 @@
                 running: false,
                 met: true,
                 leaving: false,
-                deleting: false,
                 failed: false,
             }
         });
@@ -144,6 +156,7 @@
         {
             log::info!("{name}: to be returned, {why}");
             m.leaving = true;
+            self.condemned.insert(name.to_string());
         }
     }
 }
@@ -166,18 +179,10 @@
             f.wanted.push_front(CloudAsk::Types);
         }
         // What must go is named once per call.
-        let due: Vec<String> = f
-            .machines
-            .iter()
-            .filter(|(_, m)| (m.leaving || m.failed) && !m.deleting)
-            .map(|(n, _)| n.clone())
-            .take(100)
-            .collect();
-        if !due.is_empty() {
+        while !f.condemned.is_empty() {
+            let due: Vec<String> = f.condemned.iter().take(DELETED_AT_ONCE).cloned().collect();
             for n in &due {
-                if let Some(m) = f.machines.get_mut(n) {
-                    m.deleting = true;
-                }
+                f.condemned.remove(n);
             }
             f.wanted.push_front(CloudAsk::Delete(due));
         }
@@ -288,7 +293,6 @@
                             running: false,
                             met: false,
                             leaving: false,
-                            deleting: false,
                             failed: false,
                         });
                     }
@@ -310,8 +314,8 @@
                         l.fleet.prove_gone(&n);
                         l.workers.remove(&n);
                         l.dirty = true;
-                    } else if let Some(m) = l.fleet.machines.get_mut(&n) {
-                        m.deleting = false;
+                    } else if l.fleet.machines.contains_key(&n) {
+                        l.fleet.condemned.insert(n);
                     }
                 }
             }
@@ -380,26 +384,26 @@
                 running: false,
                 met: false,
                 leaving: false,
-                deleting: false,
                 failed: false,
             });
             known.running = m.state == MachineState::Running;
             if m.state == MachineState::Failed && !known.failed {
                 log::info!("{}: listed as failed", m.id);
                 known.failed = true;
+                f.condemned.insert(m.id.clone());
                 f.prove_gone(&m.id);
                 l.dirty = true;
             }
         }
     }
 
-    /// Rents what lacks, and picks what to return. `rest`: the hosts after this pass.
-    pub fn plan_fleet(&mut self, clock: Clock, rest: &[Host], lacks: &[(String, u32)]) {
+    /// Rents what lacks, and picks what to return. `hosts`: as they are after this pass.
+    pub fn plan_fleet(&mut self, clock: Clock, hosts: &Hosts, names: &mut Names, lacks: &[Lack]) {
         let now = clock.now;
         let types: Vec<MachineType> = self.mirror.types.clone().unwrap_or_default();
         let lag = Micros::secs(self.settings.params.cloud.list_lag_s * 3.0);
         let silent_zones = self.silent_zones(clock);
-        self.give_up(clock, rest, &types, lag, !lacks.is_empty());
+        self.give_up(clock, hosts, &types, lag, !lacks.is_empty());
         let Some(l) = &mut self.leader else { return };
         let f = &mut l.fleet;
         // Nothing is rented before it is on record what was there without us.
@@ -407,45 +411,60 @@
             return;
         }
         f.refused.retain(|_, until| *until > now);
+        for (rent, flying) in f.renting.values_mut() {
+            if !*flying {
+                *flying = true;
+                f.wanted.push_back(CloudAsk::Rent(rent.clone()));
+            }
+        }
+        if lacks.is_empty() {
+            return;
+        }
         let mut coming: Vec<Host> = Vec::new();
         let mut count: BTreeMap<String, usize> = BTreeMap::new();
-        let virtual_host = |kind: &str, zone: &str, spot: bool| {
-            types.iter().find(|t| t.name == kind).map(|t| Host {
-                name: String::new(),
-                kind: kind.to_string(),
-                zone: zone.to_string(),
+        let mut fresh = |kind: &str, zone: &str, spot: bool| {
+            let t = types.iter().find(|t| t.name == kind)?;
+            let total = [t.cpus, t.gpus, t.memory_gb];
+            Some(Host {
+                kind: names.id(kind),
+                zone: names.id(zone),
                 spot,
                 session: 0,
-                total: [t.cpus, t.gpus, t.memory_gb],
-                free: [t.cpus, t.gpus, t.memory_gb],
+                total,
+                free: total,
                 open: true,
                 images: Vec::new(),
                 reserved: None,
             })
         };
         for (name, m) in f.machines.iter().filter(|(_, m)| !m.failed) {
-            *count.entry(m.zone.clone()).or_default() += 1;
+            match count.get_mut(&m.zone) {
+                Some(n) => *n += 1,
+                None => _ = count.insert(m.zone.clone(), 1),
+            }
             let lost =
                 silent_zones.contains(&m.zone) && l.workers.get(name).is_some_and(|w| w.is_over());
             if (!m.met || lost) && !m.leaving {
-                coming.extend(virtual_host(&m.kind, &m.zone, m.spot));
+                coming.extend(fresh(&m.kind, &m.zone, m.spot));
             }
         }
         for (r, _) in f.renting.values() {
             for _ in 0..r.count {
-                coming.extend(virtual_host(&r.kind, &r.zone, r.spot));
-                *count.entry(r.zone.clone()).or_default() += 1;
+                coming.extend(fresh(&r.kind, &r.zone, r.spot));
             }
+            *count.entry(r.zone.clone()).or_default() += r.count as usize;
         }
         let mut orders: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
+        let mut ordered = 0;
         let most = self.policy.most_machines as usize;
-        for (id, n) in lacks {
-            let Some(job) = self.mirror.jobs.get(id) else {
+        for lack in lacks {
+            let Some(job) = self.mirror.jobs.get(&lack.job) else {
                 continue;
             };
             let spec = &job.rec.spec;
-            let mut left = place_virtually(spec, &mut coming, *n);
-            while left > 0 {
+            let shape = &lack.shape;
+            let mut left = place_virtually(spec, shape, &mut coming, lack.tasks);
+            while left > 0 && ordered < RENTED_A_PASS {
                 let total: usize = count.values().sum();
                 if most > 0 && total >= most {
                     break;
@@ -453,42 +472,35 @@
                 let Some((kind, zone, spot)) = offer(spec, &types, &f.refused, &count) else {
                     break;
                 };
-                *orders
-                    .entry((kind.clone(), zone.clone(), spot))
-                    .or_default() += 1;
+                coming.extend(fresh(&kind, &zone, spot));
                 *count.entry(zone.clone()).or_default() += 1;
-                coming.extend(virtual_host(&kind, &zone, spot));
+                *orders.entry((kind, zone, spot)).or_default() += 1;
+                ordered += 1;
                 let before = left;
-                left = place_virtually(spec, &mut coming, left);
+                left = place_virtually(spec, shape, &mut coming, left);
                 if left >= before && spec.kind != Kind::Gang {
                     break;
                 }
-                if orders.values().sum::<u32>() > 50 {
-                    break;
-                }
             }
         }
-        for ((kind, zone, spot), n) in orders {
-            f.counter += 1;
-            // The term is part of the name: a controller that leads a second time counts anew.
-            let request = format!(
-                "{}-{:x}-{}-{}",
-                self.settings.node, self.inc, l.term, f.counter
-            );
-            let rent = Rent {
-                request: request.clone(),
-                kind,
-                zone,
-                spot,
-                count: n.min(50),
-            };
-            f.renting.insert(request, (rent.clone(), true));
-            f.wanted.push_back(CloudAsk::Rent(rent));
-        }
-        for (rent, flying) in f.renting.values_mut() {
-            if !*flying {
-                *flying = true;
-                f.wanted.push_back(CloudAsk::Rent(rent.clone()));
+        for ((kind, zone, spot), mut n) in orders {
+            while n > 0 {
+                f.counter += 1;
+                // The term is part of the name: a controller that leads a second time counts anew.
+                let request = format!(
+                    "{}-{:x}-{}-{}",
+                    self.settings.node, self.inc, l.term, f.counter
+                );
+                let rent = Rent {
+                    request: request.clone(),
+                    kind: kind.clone(),
+                    zone: zone.clone(),
+                    spot,
+                    count: n.min(RENTED_AT_ONCE),
+                };
+                n -= rent.count;
+                f.renting.insert(request, (rent.clone(), true));
+                f.wanted.push_back(CloudAsk::Rent(rent));
             }
         }
     }
@@ -513,7 +525,7 @@
     fn give_up(
         &mut self,
         clock: Clock,
-        rest: &[Host],
+        hosts: &Hosts,
         types: &[MachineType],
         lag: Micros,
         lacking: bool,
@@ -521,8 +533,7 @@
         let now = clock.now;
         let silent_zones = self.silent_zones(clock);
         let Some(l) = &mut self.leader else { return };
-        let free: BTreeMap<&str, &Host> = rest.iter().map(|h| (h.name.as_str(), h)).collect();
-        let names: Vec<String> = l.fleet.machines.keys().cloned().collect();
+        let mut leave: Vec<(String, &str)> = Vec::new();
         let learning = Micros::secs(self.settings.params.workers.cancel_s * 1.2);
         // An operator who keeps machines up before there is work holds spare room worth its price.
         let patience = if self.mirror.base.unwrap_or(0) > 0 {
@@ -531,10 +542,7 @@
             Micros::secs(self.policy.idle_return_s)
         };
         let mut idle = 0usize;
-        for name in names {
-            let Some(m) = l.fleet.machines.get(&name) else {
-                continue;
-            };
+        for (name, m) in &l.fleet.machines {
             if m.leaving || m.failed {
                 continue;
             }
@@ -548,11 +556,11 @@
                 // has to learn first who is there.
                 let learnt = if m.running { learning } else { lag };
                 if now.since(m.rented) > patience && now.since(l.since) > learnt {
-                    l.fleet.leave(&name, "it does not come up");
+                    leave.push((name.clone(), "it does not come up"));
                 }
                 continue;
             }
-            let Some(w) = l.workers.get(&name) else {
+            let Some(w) = l.workers.get(name) else {
                 continue;
             };
             let wait = if silent_zones.contains(&w.zone) {
@@ -561,27 +569,27 @@
                 Micros::millis(5_000)
             };
             if w.is_over() && now.since(w.heard) > wait {
-                l.fleet
-                    .leave(&name, "its worker is silent and its lease has run out");
+                let why = "its worker is silent and its lease has run out";
+                leave.push((name.clone(), why));
                 continue;
             }
-            let empty = free
-                .get(name.as_str())
-                .is_some_and(|h| (0..3).all(|r| h.free[r] >= h.total[r] - 1e-6));
-            if !empty {
+            if !hosts.find(name).is_some_and(|h| hosts.list[h].empty()) {
                 continue;
             }
             if sick(w, &self.policy) {
-                l.fleet.leave(&name, "tasks of several jobs fail on it");
+                leave.push((name.clone(), "tasks of several jobs fail on it"));
                 continue;
             }
             idle += 1;
             let long = w.idle_since.is_some_and(|t| now.since(t) > patience)
                 && now.since(l.since) > patience;
             if long && !lacking && idle as f64 > self.policy.keep_idle {
-                l.fleet.leave(&name, "idle");
+                leave.push((name.clone(), "idle"));
             }
         }
+        for (name, why) in leave {
+            l.fleet.leave(&name, why);
+        }
         // Tasks of cancelled jobs that cannot be confirmed gone in time go with their machine.
         // A controller that renews the machine's lease behind a cut has told it to stop them, so
         // this waits until just enough time is left for a few calls to the cloud.
@@ -605,26 +613,27 @@
 }
 
 /// Puts tasks on machines that are coming; returns how many found no room.
-fn place_virtually(spec: &Spec, coming: &mut [Host], n: u32) -> u32 {
-    let need = need(spec);
+fn place_virtually(spec: &Spec, shape: &Shape, coming: &mut [Host], n: u32) -> u32 {
     if spec.kind == Kind::Gang {
-        let Some(found) = placement::gang(coming, "", spec, n, 1.0) else {
+        let Some(found) = placement::gang(coming, "", spec, shape, n, 1.0) else {
             return n;
         };
         for h in found {
-            for (f, x) in coming[h].free.iter_mut().zip(need) {
-                *f -= x;
-            }
+            coming[h].take(&shape.need);
         }
         return 0;
     }
     let mut left = n;
-    for h in coming.iter_mut() {
-        if !allowed(spec, &h.kind, &h.zone, h.spot) {
+    // The newest come last, and have room.
+    for h in coming.iter_mut().rev() {
+        if left == 0 {
+            break;
+        }
+        if !allowed(shape, h.kind, h.zone, h.spot) {
             continue;
         }
-        let k = slots(&h.free, &need).min(left);
-        for (f, x) in h.free.iter_mut().zip(need) {
+        let k = slots(&h.free, &shape.need).min(left);
+        for (f, x) in h.free.iter_mut().zip(shape.need) {
             *f -= x * k as f64;
         }
         left -= k;
@@ -640,7 +649,7 @@
     refused: &BTreeMap<(String, String, bool), Micros>,
     count: &BTreeMap<String, usize>,
 ) -> Option<(String, String, bool)> {
-    let need = need(spec);
+    let need = placement::need(spec);
     let mut best: Option<(f64, usize, String, String, bool)> = None;
     for t in types {
         let n = slots(&[t.cpus, t.gpus, t.memory_gb], &need);
@@ -650,7 +659,11 @@
         for zone in &t.zones {
             for spot in [false, true] {
                 let key = (t.name.clone(), zone.clone(), spot);
-                if !allowed(spec, &t.name, zone, spot) || refused.contains_key(&key) {
+                let named = |l: &Vec<String>| l.contains(&t.name);
+                let fits = (spec.spot || !spot)
+                    && spec.types.as_ref().is_none_or(named)
+                    && spec.zone.as_ref().is_none_or(|z| z == zone);
+                if !fits || refused.contains_key(&key) {
                     continue;
                 }
                 let price = if spot { t.price * 1.01 } else { t.price } / n as f64;
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -62,6 +62,8 @@
 
 /// A submission is given up after this long; its user waits 5 s.
 const SUBMIT_PATIENCE: Micros = Micros::millis(4000);
+/// Submissions are queued up to what the store takes in this many seconds.
+const QUEUE_S: f64 = 2.5;
 /// After a lost answer the same transaction is tried again this much later.
 const AGAIN: Micros = Micros::millis(150);
 /// Transactions of acceptance in flight at once.
@@ -172,9 +174,10 @@
             a.conns.push(conn);
             return;
         }
-        let wps = self.settings.params.state.write_rps;
-        if self.front.accepting.len() as f64 > wps * 2.0 {
-            self.refuse(conn, 503, "too many submissions at once");
+        // More than can be written while its user waits is refused at once.
+        let wait = self.front.accepting.len() as f64 / self.store.write_rate();
+        if wait > QUEUE_S {
+            self.refuse_until(conn, "too many submissions at once", wait.ceil() as u32);
             return;
         }
         let rec = JobRec {
@@ -198,35 +201,44 @@
         };
         self.front.accepting.insert(id.clone(), a);
         self.front.order.push(id);
-        self.send_accepts(clock);
     }
 
-    fn send_accepts(&mut self, clock: Clock) {
-        let most = self.settings.params.state.txn_ops;
-        while self.front.batches < BATCHES {
-            let mut ids = Vec::new();
-            let mut changes = Vec::new();
-            let mut conds = Vec::new();
-            for id in &self.front.order {
-                let Some(a) = self.front.accepting.get_mut(id) else {
-                    continue;
-                };
-                if a.flying || a.again > clock.now || ids.len() >= most {
-                    continue;
-                }
-                a.flying = true;
-                let key = job_key(id);
-                changes.push(put(&key, &a.rec, None));
-                conds.push(cond(&key, 0));
-                ids.push(id.clone());
+    /// How many acceptances wait to be written.
+    pub fn accepts_due(&self, now: Micros) -> usize {
+        if self.front.batches >= BATCHES {
+            return 0;
+        }
+        let waiting = self.front.accepting.values();
+        waiting.filter(|a| !a.flying && a.again <= now).count()
+    }
+
+    /// Writes acceptances, first come first, at most `most` in a transaction.
+    pub fn write_accepts(&mut self, clock: Clock, most: usize) {
+        let mut ids = Vec::new();
+        let mut changes = Vec::new();
+        let mut conds = Vec::new();
+        for id in &self.front.order {
+            let Some(a) = self.front.accepting.get_mut(id) else {
+                continue;
+            };
+            if a.flying || a.again > clock.now {
+                continue;
             }
-            if ids.is_empty() {
-                return;
+            a.flying = true;
+            let key = job_key(id);
+            changes.push(put(&key, &a.rec, None));
+            conds.push(cond(&key, 0));
+            ids.push(id.clone());
+            if ids.len() >= most {
+                break;
             }
-            self.front.batches += 1;
-            let txn = Txn { conds, changes };
-            self.store.ask(Rank::Usual, Tag::Accept(ids), Ask::Txn(txn));
         }
+        if ids.is_empty() {
+            return;
+        }
+        self.front.batches += 1;
+        let txn = Txn { conds, changes };
+        self.store.ask(Rank::Usual, Tag::Accept(ids), Ask::Txn(txn));
     }
 
     /// An acceptance came back.
@@ -281,7 +293,6 @@
                 }
             }
         }
-        self.send_accepts(clock);
     }
 
     fn forget_accepting(&mut self, id: &str) {
@@ -348,10 +359,7 @@
                 if let Ask::Txn(t) = &ask {
                     self.apply_own(t, rev);
                 }
-                if let Some(l) = &mut self.leader {
-                    l.dirty = true;
-                    l.orders_dirty = true;
-                }
+                self.on_changed_jobs();
                 for conn in conns {
                     self.on_cancel(clock, conn, id.clone(), false);
                 }
@@ -384,7 +392,7 @@
             },
             Waiter::Cancel { conn, id } => self.on_cancel(clock, conn, id, false),
             Waiter::Proof => {}
-            Waiter::Edits(n) => self.settle_edits(clock, n),
+            Waiter::Edits(n) => self.settle_edits(n),
         }
     }
 
@@ -401,18 +409,31 @@
         }
     }
 
-    /// Tries lost acceptances again; returns when next.
+    /// Refuses what has waited for its turn in vain; returns when to look again.
     pub fn front_time(&mut self, clock: Clock) -> Micros {
-        if self.front.accepting.values().any(|a| !a.flying) {
-            self.send_accepts(clock);
+        let mut late = Vec::new();
+        let mut next = Micros::FAR;
+        for (id, a) in &self.front.accepting {
+            if a.flying {
+                continue;
+            }
+            if a.since + SUBMIT_PATIENCE <= clock.now {
+                late.push(id.clone());
+            } else if a.again > clock.now {
+                next = next.min(a.again);
+            } else {
+                next = next.min(a.since + SUBMIT_PATIENCE);
+            }
+        }
+        for id in late {
+            let a = self.front.accepting.get_mut(&id);
+            let conns = a.map(|a| std::mem::take(&mut a.conns)).unwrap_or_default();
+            self.forget_accepting(&id);
+            for conn in conns {
+                self.refuse(conn, 503, "too many submissions at once");
+            }
         }
-        self.front
-            .accepting
-            .values()
-            .filter(|a| !a.flying && a.again > clock.now)
-            .map(|a| a.again)
-            .min()
-            .unwrap_or(Micros::FAR)
+        next
     }
 }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,9 +1,11 @@
 //! Leadership, the queue, placement, tasks and the fleet.
 
+pub mod edits;
 pub mod fleet;
 pub mod front;
 pub mod leader;
 pub mod node;
+pub mod pass;
 pub mod placement;
 pub mod policy;
 pub mod queue;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -90,8 +90,10 @@
 const HEARTBEAT_EVERY: Micros = Micros::millis(700);
 /// A leader silent for this long on all links of all siblings is taken for dead.
 const LEADER_SILENT: Micros = Micros::millis(2500);
-/// The standing watch is not opened anew faster than this.
-const FOLLOW_GAP: Micros = Micros::millis(40);
+/// The standing watch is opened anew after this many of our requests' time at the soonest, and
+/// barriers of polls are as far apart: the rest of the budget is for what users wait for longer.
+const FOLLOW_SHARE: f64 = 5.0;
+const BARRIER_SHARE: f64 = 3.0;
 /// A leader catches up with the store at least this often.
 const PROOF_EVERY: Micros = Micros::millis(1000);
 
@@ -137,6 +139,9 @@
     barrier_sent: Option<Micros>,
     barrier_flying: Vec<Waiter>,
     barrier_next: Vec<Waiter>,
+    /// Whose turn it is to write: job records, or acceptances.
+    turn: bool,
+    barrier_at: Micros,
     heartbeat_at: Micros,
     heartbeat_flying: Vec<bool>,
     leader_heard: Option<(String, Micros)>,
@@ -176,6 +181,8 @@
             barrier_sent: None,
             barrier_flying: Vec::new(),
             barrier_next: Vec::new(),
+            turn: false,
+            barrier_at: Micros::ZERO,
             heartbeat_at: clock.now,
             heartbeat_flying: vec![false; siblings],
             leader_heard: None,
@@ -199,6 +206,7 @@
             }
         }
         let next = self.on_time(clock);
+        let next = next.min(self.write_turns(clock));
         self.store.pump(clock.now, &mut self.next_id, &mut self.out);
         let next = self.store.wake(clock.now).map_or(next, |t| t.min(next));
         (std::mem::take(&mut self.out), next)
@@ -216,6 +224,15 @@
 
     /// Answers a request with an error for people; 503 says when to come back.
     pub fn refuse(&mut self, conn: u64, status: u16, error: &str) {
+        self.refuse_with(conn, status, error, (status == 503).then_some(1));
+    }
+
+    /// Refuses for now, and says in how many seconds to come back.
+    pub fn refuse_until(&mut self, conn: u64, error: &str, seconds: u32) {
+        self.refuse_with(conn, 503, error, Some(seconds));
+    }
+
+    fn refuse_with(&mut self, conn: u64, status: u16, error: &str, retry_after: Option<u32>) {
         let body = encode(&Problem {
             error: error.to_string(),
         });
@@ -223,10 +240,46 @@
             conn,
             status,
             body,
-            retry_after: (status == 503).then_some(1),
+            retry_after,
         });
     }
 
+    /// Hands acceptances and job records to the store in turn, as far as it can take them at
+    /// once; what must wait goes on gathering. Returns when to look again.
+    fn write_turns(&mut self, clock: Clock) -> Micros {
+        let now = clock.now;
+        let most = self.settings.params.state.txn_ops;
+        loop {
+            let accepts = self.accepts_due(now);
+            let (edits, next) = self.edits_due(now);
+            if accepts + edits == 0 {
+                return next;
+            }
+            self.turn = match (accepts, edits) {
+                (0, _) => true,
+                (_, 0) => false,
+                _ => !self.turn,
+            };
+            let wanted = if self.turn { edits } else { accepts };
+            // Half a transaction is worth sending; less only if there is no more.
+            let least = wanted.min(most / 2).max(1);
+            let room = self.store.room_for(now, wanted.min(most));
+            if room < least && self.store.room_at(now, least) > now {
+                return self.store.room_at(now, least).min(next);
+            }
+            if room == 0 {
+                // Something is queued already: `pump` says when it can go.
+                return next;
+            }
+            if self.turn {
+                self.write_edits(clock, room);
+            } else {
+                self.write_accepts(clock, room);
+            }
+            self.store.pump(now, &mut self.next_id, &mut self.out);
+        }
+    }
+
     /// Makes a call to somebody other than the store.
     pub fn call(
         &mut self,
@@ -356,7 +409,8 @@
             (Tag::Load, _) => self.load_at = Some(clock.now + Micros::millis(250)),
             (Tag::Follow, Reply::Events(a)) => {
                 self.mirror.apply(a);
-                self.follow_at = Some(clock.now.max(sent + FOLLOW_GAP));
+                let gap = (FOLLOW_SHARE / self.store.request_rate()).clamp(0.04, 0.4);
+                self.follow_at = Some(clock.now.max(sent + Micros::secs(gap)));
                 self.on_news(clock);
             }
             (Tag::Follow, Reply::TooOld) => self.reload(clock),
@@ -503,10 +557,21 @@
         self.send_barrier(clock);
     }
 
+    /// How far apart barriers are that only polls want.
+    fn barrier_gap(&self) -> Micros {
+        Micros::secs((BARRIER_SHARE / self.store.request_rate()).clamp(0.03, 0.3))
+    }
+
     fn send_barrier(&mut self, clock: Clock) {
         if self.barrier_sent.is_some() || self.barrier_next.is_empty() {
             return;
         }
+        // Polls can share a barrier; they must not use up the budget that acceptances need.
+        let polls = |w: &Waiter| matches!(w, Waiter::Poll { .. });
+        if clock.now < self.barrier_at + self.barrier_gap() && self.barrier_next.iter().all(polls) {
+            return;
+        }
+        self.barrier_at = clock.now;
         if !self.mirror.synced {
             for w in std::mem::take(&mut self.barrier_next) {
                 self.cannot_catch_up(w);
@@ -540,6 +605,9 @@
                     l.since = clock.now;
                     l.strangers_over = false;
                 }
+                if term != l.term {
+                    l.sweep_at = clock.now;
+                }
                 l.term = term;
                 l.version = version;
             }
@@ -553,13 +621,7 @@
             }
             (None, None) => {}
         }
-        if let Some(l) = &mut self.leader
-            && l.generation != self.mirror.generation
-        {
-            l.generation = self.mirror.generation;
-            l.dirty = true;
-            l.orders_dirty = true;
-        }
+        self.on_changed_jobs();
     }
 
     fn stand_down(&mut self, why: &str) {
@@ -595,6 +657,12 @@
                 next = next.min(at);
             }
         }
+        if self.barrier_sent.is_none() && !self.barrier_next.is_empty() {
+            self.send_barrier(clock);
+            if self.barrier_sent.is_none() {
+                next = next.min(self.barrier_at + self.barrier_gap());
+            }
+        }
         next = next.min(self.heartbeats(clock));
         next = next.min(self.candidacy(clock));
         next = next.min(self.front_time(clock));
@@ -826,7 +894,11 @@
     let others = s.siblings.len() as f64;
     let small = 0.35 / others.max(1.0);
     let part = if leading { 0.6 } else { small };
-    let w = if leading { 0.6 } else { 0.36 / others.max(1.0) };
+    let w = if leading {
+        0.66
+    } else {
+        0.32 / others.max(1.0)
+    };
     (s.params.state.rps * part, s.params.state.write_rps * w)
 }
 
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -1,6 +1,11 @@
 //! AdaBa: which machines a job's tasks go to (the paper's equation 7 and algorithm 1).
+//!
+//! A job's tasks are identical, so machines are ranked once per job, not once per task: placing a
+//! task changes the rank of one machine only.
 
 use crate::protocol::Spec;
+use std::cmp::Ordering;
+use std::collections::{BinaryHeap, HashMap};
 
 /// CPUs, GPUs, memory.
 pub type Amounts = [f64; 3];
@@ -10,15 +15,70 @@
     [spec.cpus, spec.gpus, spec.memory_gb]
 }
 
+/// Numbers for names of types, zones and images, so that a pass compares no text. Made anew for
+/// each pass: nothing grows with the days.
+#[derive(Debug, Default)]
+pub struct Names {
+    ids: HashMap<String, u32>,
+    list: Vec<String>,
+}
+
+impl Names {
+    /// The number of a name.
+    pub fn id(&mut self, name: &str) -> u32 {
+        if let Some(i) = self.ids.get(name) {
+            return *i;
+        }
+        let i = self.list.len() as u32;
+        self.list.push(name.to_string());
+        self.ids.insert(name.to_string(), i);
+        i
+    }
+
+    /// The name behind a number.
+    pub fn name(&self, id: u32) -> &str {
+        self.list.get(id as usize).map_or("", String::as_str)
+    }
+}
+
+/// What placing a job's tasks depends on, in numbers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Shape {
+    /// What one task takes.
+    pub need: Amounts,
+    /// Allowed types.
+    pub kinds: Option<Vec<u32>>,
+    /// The only allowed zone.
+    pub zone: Option<u32>,
+    /// May use spot machines.
+    pub spot: bool,
+    /// Its image.
+    pub image: u32,
+}
+
+impl Shape {
+    /// Of a job.
+    pub fn of(spec: &Spec, names: &mut Names) -> Shape {
+        Shape {
+            need: need(spec),
+            kinds: spec
+                .types
+                .as_ref()
+                .map(|t| t.iter().map(|k| names.id(k)).collect()),
+            zone: spec.zone.as_ref().map(|z| names.id(z)),
+            spot: spec.spot,
+            image: names.id(&spec.image),
+        }
+    }
+}
+
 /// A machine as the queue sees it.
 #[derive(Debug, Clone)]
 pub struct Host {
-    /// Name.
-    pub name: String,
     /// Type.
-    pub kind: String,
+    pub kind: u32,
     /// Zone.
-    pub zone: String,
+    pub zone: u32,
     /// Spot machine.
     pub spot: bool,
     /// The worker's session.
@@ -30,11 +90,32 @@
     /// Takes new tasks now.
     pub open: bool,
     /// Images it has or fetches.
-    pub images: Vec<String>,
+    pub images: Vec<u32>,
     /// Room is being made on it for this job; others keep off.
     pub reserved: Option<String>,
 }
 
+impl Host {
+    /// Takes room for a task.
+    pub fn take(&mut self, need: &Amounts) {
+        for (free, n) in self.free.iter_mut().zip(need) {
+            *free -= n;
+        }
+    }
+
+    /// Gives room back.
+    pub fn give(&mut self, need: &Amounts) {
+        for (free, n) in self.free.iter_mut().zip(need) {
+            *free += n;
+        }
+    }
+
+    /// Nothing takes room on it.
+    pub fn empty(&self) -> bool {
+        (0..3).all(|r| self.free[r] >= self.total[r] - EPS)
+    }
+}
+
 const EPS: f64 = 1e-6;
 
 /// How many tasks of this size fit into the room.
@@ -62,104 +143,168 @@
     -0.5 * a * a + l * ratio * a
 }
 
-/// Whether a job may use a machine at all.
-pub fn allowed(spec: &Spec, kind: &str, zone: &str, spot: bool) -> bool {
-    (spec.spot || !spot)
-        && spec
-            .types
-            .as_ref()
-            .is_none_or(|t| t.iter().any(|k| k == kind))
-        && spec.zone.as_deref().is_none_or(|z| z == zone)
+/// Whether a job may use a machine of this kind at all.
+pub fn allowed(shape: &Shape, kind: u32, zone: u32, spot: bool) -> bool {
+    (shape.spot || !spot)
+        && shape.kinds.as_ref().is_none_or(|t| t.contains(&kind))
+        && shape.zone.is_none_or(|z| z == zone)
 }
 
-fn open_to(id: &str, spec: &Spec, h: &Host, need: &Amounts) -> bool {
+/// Whether a machine would take one task of this job.
+pub fn may_take(h: &Host, id: &str, shape: &Shape) -> bool {
     h.open
+        && slots(&h.free, &shape.need) > 0
         && h.reserved.as_deref().is_none_or(|r| r == id)
-        && allowed(spec, &h.kind, &h.zone, h.spot)
-        && slots(&h.free, need) > 0
+        && allowed(shape, h.kind, h.zone, h.spot)
 }
 
-/// Whether a machine would take one task of this job.
-pub fn may_take(h: &Host, id: &str, spec: &Spec) -> bool {
-    open_to(id, spec, h, &need(spec))
+/// How well a machine suits a task: one that has the image starts it at once; only then does the
+/// weight decide, and among equals the first.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Rank {
+    image: bool,
+    weight: f64,
+    host: usize,
 }
 
-fn rank(h: &Host, need: &Amounts, ratio: f64, image: &str) -> (bool, f64) {
-    let w = weight(
-        slots(&h.free, need) as f64,
-        slots(&h.total, need) as f64,
-        ratio,
-    );
-    (h.images.iter().any(|i| i == image), w)
+impl Eq for Rank {}
+
+impl Ord for Rank {
+    fn cmp(&self, o: &Rank) -> Ordering {
+        (self.image.cmp(&o.image))
+            .then(self.weight.total_cmp(&o.weight))
+            .then(o.host.cmp(&self.host))
+    }
 }
 
-fn better(a: (bool, f64), b: (bool, f64)) -> bool {
-    // A machine with the image starts the task at once; only then does the weight decide.
-    (a.0, a.1) > (b.0, b.1)
+impl PartialOrd for Rank {
+    fn partial_cmp(&self, o: &Rank) -> Option<Ordering> {
+        Some(self.cmp(o))
+    }
 }
 
-/// The best machine for one task; `fits` holds the job's own further conditions.
-pub fn single(
-    hosts: &[Host],
-    id: &str,
-    spec: &Spec,
+fn rank(host: usize, h: &Host, shape: &Shape, ratio: f64) -> Rank {
+    let a = slots(&h.free, &shape.need) as f64;
+    let l = slots(&h.total, &shape.need) as f64;
+    Rank {
+        image: h.images.contains(&shape.image),
+        weight: weight(a, l, ratio),
+        host,
+    }
+}
+
+/// Picks machines for the tasks of one job one after the other, as a scan of all machines for
+/// each task would.
+pub struct Picker<'a> {
+    id: &'a str,
+    shape: &'a Shape,
     ratio: f64,
-    fits: impl Fn(usize, &Host) -> bool,
-) -> Option<usize> {
-    let need = need(spec);
-    let mut best: Option<(usize, (bool, f64))> = None;
-    for (i, h) in hosts.iter().enumerate() {
-        if !open_to(id, spec, h, &need) || !fits(i, h) {
-            continue;
+    /// Machines without a task of the job.
+    apart: BinaryHeap<Rank>,
+    /// Machines that have one, for copies that would rather be apart.
+    shared: BinaryHeap<Rank>,
+    keep_apart: bool,
+}
+
+impl<'a> Picker<'a> {
+    /// `keep_apart`: machines with a task of the job (`has`) come last.
+    pub fn new(
+        hosts: &[Host],
+        id: &'a str,
+        shape: &'a Shape,
+        ratio: f64,
+        keep_apart: bool,
+        has: impl Fn(usize) -> bool,
+    ) -> Picker<'a> {
+        let mut apart = Vec::new();
+        let mut shared = Vec::new();
+        for (i, h) in hosts.iter().enumerate() {
+            if may_take(h, id, shape) {
+                let list = if keep_apart && has(i) {
+                    &mut shared
+                } else {
+                    &mut apart
+                };
+                list.push(rank(i, h, shape, ratio));
+            }
+        }
+        Picker {
+            id,
+            shape,
+            ratio,
+            apart: apart.into(),
+            shared: shared.into(),
+            keep_apart,
+        }
+    }
+
+    /// The best machine for the next task. `fits` holds the job's further conditions on zones; a
+    /// zone that does not fit now must never fit later.
+    pub fn next(&mut self, hosts: &[Host], fits: impl Fn(u32) -> bool) -> Option<usize> {
+        for heap in [&mut self.apart, &mut self.shared] {
+            while let Some(r) = heap.pop() {
+                if fits(hosts[r.host].zone) {
+                    return Some(r.host);
+                }
+            }
         }
-        let r = rank(h, &need, ratio, &spec.image);
-        if best.is_none_or(|(_, b)| better(r, b)) {
-            best = Some((i, r));
+        None
+    }
+
+    /// The machine picked last has taken the task: it comes back with its new rank.
+    pub fn taken(&mut self, hosts: &[Host], host: usize) {
+        if may_take(&hosts[host], self.id, self.shape) {
+            let r = rank(host, &hosts[host], self.shape, self.ratio);
+            if self.keep_apart {
+                self.shared.push(r);
+            } else {
+                self.apart.push(r);
+            }
         }
     }
-    best.map(|(i, _)| i)
 }
 
 /// Places all `n` tasks of a gang or none: on one machine, else in one zone, else anywhere
 /// (unless the job wants one zone).
-pub fn gang(hosts: &[Host], id: &str, spec: &Spec, n: u32, ratio: f64) -> Option<Vec<usize>> {
-    let need = need(spec);
-    let mut order: Vec<(usize, (bool, f64), u32)> = hosts
+pub fn gang(
+    hosts: &[Host],
+    id: &str,
+    spec: &Spec,
+    shape: &Shape,
+    n: u32,
+    ratio: f64,
+) -> Option<Vec<usize>> {
+    let mut order: Vec<Rank> = hosts
         .iter()
         .enumerate()
-        .filter(|(_, h)| open_to(id, spec, h, &need))
-        .map(|(i, h)| {
-            let r = rank(h, &need, ratio, &spec.image);
-            (i, r, slots(&h.free, &need))
-        })
+        .filter(|(_, h)| may_take(h, id, shape))
+        .map(|(i, h)| rank(i, h, shape, ratio))
         .collect();
-    order.sort_by(|a, b| b.1.0.cmp(&a.1.0).then(b.1.1.total_cmp(&a.1.1)));
+    order.sort_by(|a, b| b.cmp(a));
+    let room = |r: &Rank| slots(&hosts[r.host].free, &shape.need);
     let half = if spec.spread { n.div_ceil(2) } else { n };
     if half == n
-        && let Some((i, _, _)) = order.iter().find(|(_, _, s)| *s >= n)
+        && let Some(r) = order.iter().find(|r| room(r) >= n)
     {
-        return Some(vec![*i; n as usize]);
+        return Some(vec![r.host; n as usize]);
     }
-    let mut zones: Vec<&str> = order
-        .iter()
-        .map(|(i, _, _)| hosts[*i].zone.as_str())
-        .collect();
+    let mut zones: Vec<u32> = order.iter().map(|r| hosts[r.host].zone).collect();
     zones.sort_unstable();
     zones.dedup();
-    let fill = |zone: Option<&str>| {
+    let fill = |zone: Option<u32>| {
         let mut taken: Vec<usize> = Vec::new();
-        let mut per_zone: Vec<(&str, u32)> = zones.iter().map(|z| (*z, 0)).collect();
-        for (i, _, s) in &order {
-            let h = &hosts[*i];
+        let mut per_zone: Vec<(u32, u32)> = zones.iter().map(|z| (*z, 0)).collect();
+        for r in &order {
+            let h = &hosts[r.host];
             if zone.is_some_and(|z| z != h.zone) {
                 continue;
             }
             let Some(used) = per_zone.iter_mut().find(|(z, _)| *z == h.zone) else {
                 continue;
             };
-            let k = (*s).min(n - taken.len() as u32).min(half - used.1);
+            let k = room(r).min(n - taken.len() as u32).min(half - used.1);
             used.1 += k;
-            taken.extend(std::iter::repeat_n(*i, k as usize));
+            taken.extend(std::iter::repeat_n(r.host, k as usize));
             if taken.len() as u32 == n {
                 return Some(taken);
             }
@@ -167,9 +312,91 @@
         None
     };
     if half == n
-        && let Some(found) = zones.iter().find_map(|z| fill(Some(z)))
+        && let Some(found) = zones.iter().find_map(|z| fill(Some(*z)))
     {
         return Some(found);
     }
     if spec.one_zone { None } else { fill(None) }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::{RngExt, SeedableRng};
+    use rand_chacha::ChaCha8Rng;
+
+    /// What the design says, word by word: each task goes to the best of all machines.
+    fn scan(
+        hosts: &[Host],
+        shape: &Shape,
+        ratio: f64,
+        fits: impl Fn(usize, &Host) -> bool,
+    ) -> Option<usize> {
+        let all = hosts.iter().enumerate();
+        all.filter(|(i, h)| may_take(h, "j", shape) && fits(*i, h))
+            .map(|(i, h)| rank(i, h, shape, ratio))
+            .max()
+            .map(|r| r.host)
+    }
+
+    #[test]
+    fn the_picker_chooses_as_a_scan_for_each_task_would() {
+        for seed in 0..300 {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let total = [64.0, 8.0, 256.0];
+            let mut hosts: Vec<Host> = (0..rng.random_range(1..40))
+                .map(|_| Host {
+                    kind: rng.random_range(0..2),
+                    zone: rng.random_range(10..12),
+                    spot: rng.random_bool(0.3),
+                    session: 1,
+                    total,
+                    free: [64.0, rng.random_range(0..9) as f64, 256.0],
+                    open: rng.random_bool(0.9),
+                    images: (20..24).filter(|_| rng.random_bool(0.4)).collect(),
+                    reserved: rng.random_bool(0.1).then(|| "other".to_string()),
+                })
+                .collect();
+            let shape = Shape {
+                need: [rng.random_range(1..20) as f64, 1.0, 10.0],
+                kinds: rng.random_bool(0.3).then(|| vec![1]),
+                zone: rng.random_bool(0.2).then_some(10),
+                spot: rng.random_bool(0.5),
+                image: 21,
+            };
+            let ratio = rng.random_range(0.0..1.0);
+            let apart = rng.random_bool(0.5);
+            let most = rng.random_range(1..20);
+            let has: Vec<bool> = hosts.iter().map(|_| rng.random_bool(0.2)).collect();
+            let mut plain = hosts.clone();
+            let mut on = has.clone();
+            let mut zones = [0; 32];
+            let mut expected = Vec::new();
+            for _ in 0..30 {
+                let zone = |h: &Host| zones[h.zone as usize] < most;
+                let found = scan(&plain, &shape, ratio, |i, h| zone(h) && !(apart && on[i]))
+                    .or_else(|| scan(&plain, &shape, ratio, |_, h| zone(h)));
+                let Some(h) = found else { break };
+                plain[h].take(&shape.need);
+                plain[h].images.push(shape.image);
+                on[h] = true;
+                zones[plain[h].zone as usize] += 1;
+                expected.push(h);
+            }
+            let mut picker = Picker::new(&hosts, "j", &shape, ratio, apart, |i| has[i]);
+            let mut zones = [0; 32];
+            let mut got = Vec::new();
+            for _ in 0..30 {
+                let Some(h) = picker.next(&hosts, |z| zones[z as usize] < most) else {
+                    break;
+                };
+                hosts[h].take(&shape.need);
+                hosts[h].images.push(shape.image);
+                zones[hosts[h].zone as usize] += 1;
+                picker.taken(&hosts, h);
+                got.push(h);
+            }
+            assert_eq!(got, expected, "seed {seed}");
+        }
+    }
+}
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -1,6 +1,6 @@
 //! One pass of BgMBFSDF over the arrival-ordered queue (the paper's algorithm 2).
 
-use super::placement::{self, Amounts, Host, need, slots};
+use super::placement::{self, Amounts, Host, Picker, Shape, slots};
 use crate::protocol::{Kind, Priority, Spec};
 use std::collections::BTreeMap;
 
@@ -11,19 +11,21 @@
     pub id: &'a str,
     /// The job.
     pub spec: &'a Spec,
+    /// The same, in numbers.
+    pub shape: Shape,
     /// Tasks that may start (for a gang: all, or nothing is done).
     pub tasks: Vec<u32>,
-    /// Where its other tasks are presumed: zone, and machine name.
-    pub present: Vec<(String, String)>,
+    /// Where its other tasks are presumed: zone, and the machine if it is among the hosts.
+    pub present: Vec<(u32, Option<usize>)>,
     /// Estimated run time, corrected by what was observed.
     pub estimate_s: f64,
 }
 
 /// A running task that may have to make room.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Victim {
+pub struct Victim<'a> {
     /// Job.
-    pub job: String,
+    pub job: &'a str,
     /// Task.
     pub task: u32,
     /// Index of its machine.
@@ -61,6 +63,8 @@
 pub struct Lack {
     /// Job.
     pub job: String,
+    /// What one of its tasks needs.
+    pub shape: Shape,
     /// How many tasks.
     pub tasks: u32,
 }
@@ -78,6 +82,10 @@
     pub lacks: Vec<Lack>,
 }
 
+/// Room is looked for on behalf of this many blocked jobs a pass, first come first: the work of a
+/// pass must not grow with the length of the queue times the size of the fleet.
+const MAKE_WAY: usize = 8;
+
 fn team_slots(room: &Room, spec: &Spec) -> u32 {
     let Some([cpus, gpus]) = room.get(&spec.team) else {
         return u32::MAX;
@@ -85,17 +93,14 @@
     slots(&[*cpus, *gpus, f64::INFINITY], &[spec.cpus, spec.gpus, 0.0])
 }
 
-fn take(host: &mut Host, room: &mut Room, spec: &Spec) {
-    let need = need(spec);
-    for (free, n) in host.free.iter_mut().zip(need) {
-        *free -= n;
-    }
-    if let Some(r) = room.get_mut(&spec.team) {
-        r[0] -= spec.cpus;
-        r[1] -= spec.gpus;
+fn take(host: &mut Host, room: &mut Room, item: &Item<'_>) {
+    host.take(&item.shape.need);
+    if let Some(r) = room.get_mut(&item.spec.team) {
+        r[0] -= item.spec.cpus;
+        r[1] -= item.spec.gpus;
     }
-    if !host.images.contains(&spec.image) {
-        host.images.push(spec.image.clone());
+    if !host.images.contains(&item.shape.image) {
+        host.images.push(item.shape.image);
     }
 }
 
@@ -103,7 +108,7 @@
 pub fn pass(
     items: &[Item<'_>],
     hosts: &mut [Host],
-    victims: &[Victim],
+    victims: &[Victim<'_>],
     room: &mut Room,
     b_max: &mut f64,
     most: usize,
@@ -112,9 +117,10 @@
     let mut blocked = false;
     let mut later: Vec<&Item<'_>> = Vec::new();
     let typical = hosts.first().map_or([1.0; 3], |h| h.total);
+    let demand = |i: &Item<'_>| i.spec.tasks as f64 * placement::size(&typical, &i.shape.need);
+    let mut tries = MAKE_WAY;
     for item in items {
-        let demand = item.spec.tasks as f64 * placement::size(&typical, &need(item.spec));
-        *b_max = b_max.max(demand);
+        *b_max = b_max.max(demand(item));
         if plan.places.len() >= most {
             break;
         }
@@ -123,22 +129,18 @@
             continue;
         }
         let before = plan.places.len();
-        let short = start(
-            item,
-            hosts,
-            room,
-            demand / b_max.max(1e-9),
-            false,
-            &mut plan,
-        );
+        let ratio = demand(item) / b_max.max(1e-9);
+        let short = start(item, hosts, room, ratio, false, &mut plan);
         if short == 0 {
             continue;
         }
         plan.lacks.push(Lack {
             job: item.id.to_string(),
+            shape: item.shape.clone(),
             tasks: short,
         });
-        if item.spec.kind != Kind::Array && plan.places.len() == before {
+        if item.spec.kind != Kind::Array && plan.places.len() == before && tries > 0 {
+            tries -= 1;
             make_way(item, hosts, victims, !blocked, &mut plan);
         }
         blocked |= item.spec.kind != Kind::Service;
@@ -148,14 +150,16 @@
         if plan.places.len() >= most {
             break;
         }
-        let demand = item.spec.tasks as f64 * placement::size(&typical, &need(item.spec));
-        let short = start(item, hosts, room, demand / b_max.max(1e-9), true, &mut plan);
+        let ratio = demand(item) / b_max.max(1e-9);
+        let short = start(item, hosts, room, ratio, true, &mut plan);
         if short > 0 {
             plan.lacks.push(Lack {
                 job: item.id.to_string(),
+                shape: item.shape.clone(),
                 tasks: short,
             });
-            if item.spec.kind == Kind::Gang {
+            if item.spec.kind == Kind::Gang && tries > 0 {
+                tries -= 1;
                 make_way(item, hosts, victims, false, &mut plan);
             }
         }
@@ -174,16 +178,16 @@
 ) -> u32 {
     let spec = item.spec;
     let n = item.tasks.len() as u32;
-    let may = team_slots(room, spec);
+    let may = team_slots(room, spec).min(n);
     if spec.kind == Kind::Gang {
         if may < n {
             return 0;
         }
-        let Some(found) = placement::gang(hosts, item.id, spec, n, ratio) else {
+        let Some(found) = placement::gang(hosts, item.id, spec, &item.shape, n, ratio) else {
             return n;
         };
         for (task, host) in item.tasks.iter().zip(found) {
-            take(&mut hosts[host], room, spec);
+            take(&mut hosts[host], room, item);
             plan.places.push(Place {
                 job: item.id.to_string(),
                 task: *task,
@@ -193,28 +197,27 @@
         }
         return 0;
     }
-    let mut present: Vec<(String, String)> = item.present.clone();
+    let service = spec.kind == Kind::Service;
+    let mut zones: Vec<u32> = item.present.iter().map(|(z, _)| *z).collect();
     let half = spec.tasks.div_ceil(2) as usize;
-    for (k, task) in item.tasks.iter().take(may.min(n) as usize).enumerate() {
-        let in_zone = |z: &str| present.iter().filter(|(p, _)| p == z).count();
-        let fits = |h: &Host| {
-            (!spec.one_zone || present.iter().all(|(z, _)| *z == h.zone))
-                && (!spec.spread || in_zone(&h.zone) < half)
+    let has = |i: usize| item.present.iter().any(|(_, m)| *m == Some(i));
+    let mut picker = Picker::new(hosts, item.id, &item.shape, ratio, service, has);
+    for (k, task) in item.tasks.iter().take(may as usize).enumerate() {
+        let fits = |zone: u32| {
+            (!spec.one_zone || zones.iter().all(|z| *z == zone))
+                && (!spec.spread || zones.iter().filter(|z| **z == zone).count() < half)
         };
-        let apart =
-            |h: &Host| spec.kind != Kind::Service || present.iter().all(|(_, m)| *m != h.name);
-        let found = placement::single(hosts, item.id, spec, ratio, |_, h| fits(h) && apart(h))
-            .or_else(|| placement::single(hosts, item.id, spec, ratio, |_, h| fits(h)));
-        let Some(host) = found else {
-            return may.min(n) - k as u32;
+        let Some(host) = picker.next(hosts, fits) else {
+            return may - k as u32;
         };
-        take(&mut hosts[host], room, spec);
-        present.push((hosts[host].zone.clone(), hosts[host].name.clone()));
+        take(&mut hosts[host], room, item);
+        picker.taken(hosts, host);
+        zones.push(hosts[host].zone);
         plan.places.push(Place {
             job: item.id.to_string(),
             task: *task,
             host,
-            backfilled: backfill && spec.kind != Kind::Service,
+            backfilled: backfill && !service,
         });
     }
     0
@@ -223,19 +226,19 @@
 /// If a blocked job fits once others are gone, stops those on its room, latest first: what was
 /// backfilled, for the job at the top; and what has a lower priority, if it can save or makes
 /// room for replicas. The machines are kept for the job until it has started.
-fn make_way(item: &Item<'_>, hosts: &[Host], victims: &[Victim], top: bool, plan: &mut Plan) {
+fn make_way(item: &Item<'_>, hosts: &[Host], victims: &[Victim<'_>], top: bool, plan: &mut Plan) {
     let kept = |h: &Host| h.reserved.as_deref() == Some(item.id);
     if hosts.iter().any(kept) {
         return;
     }
     let service = item.spec.kind == Kind::Service;
-    let may = |v: &&Victim| {
+    let may = |v: &&Victim<'_>| {
         let lower = v.priority < item.spec.priority && (v.saves || service);
         hosts[v.host].reserved.is_none()
             && plan.reserved.iter().all(|(h, _)| *h != v.host)
             && ((top && !service && v.backfilled) || lower)
     };
-    let victims: Vec<&Victim> = victims.iter().filter(may).collect();
+    let victims: Vec<&Victim<'_>> = victims.iter().filter(may).collect();
     if victims.is_empty() {
         return;
     }
@@ -244,11 +247,9 @@
         without[*h].open = false;
     }
     for v in &victims {
-        for (free, n) in without[v.host].free.iter_mut().zip(v.need) {
-            *free += n;
-        }
+        without[v.host].give(&v.need);
     }
-    let need = need(item.spec);
+    let need = item.shape.need;
     let n = if service { 1 } else { item.tasks.len() as u32 };
     // For one task the fullest machine serves, so that as few as possible have to go.
     let found = if n == 1 {
@@ -261,16 +262,18 @@
         };
         let lost = |i: usize| (without[i].free[1] - hosts[i].free[1]).max(0.0);
         (0..without.len())
-            .filter(|i| fits(&without[*i]) && placement::may_take(&without[*i], item.id, item.spec))
+            .filter(|i| {
+                fits(&without[*i]) && placement::may_take(&without[*i], item.id, &item.shape)
+            })
             .min_by(|a, b| {
-                let image = |i: usize| !without[i].images.contains(&item.spec.image);
+                let image = |i: usize| !without[i].images.contains(&item.shape.image);
                 (lost(*a), image(*a))
                     .partial_cmp(&(lost(*b), image(*b)))
                     .unwrap_or(std::cmp::Ordering::Equal)
             })
             .map(|i| vec![i])
     } else {
-        placement::gang(&without, item.id, item.spec, n, 1.0)
+        placement::gang(&without, item.id, item.spec, &item.shape, n, 1.0)
     };
     let Some(found) = found else {
         return;
@@ -281,7 +284,7 @@
     }
     for (h, n) in by_host {
         let mut free = hosts[h].free;
-        let mut here: Vec<&&Victim> = victims.iter().filter(|v| v.host == h).collect();
+        let mut here: Vec<&&Victim<'_>> = victims.iter().filter(|v| v.host == h).collect();
         here.sort_by_key(|v| std::cmp::Reverse(v.order));
         for v in here {
             if slots(&free, &need) >= n {
@@ -290,7 +293,7 @@
             for (f, n) in free.iter_mut().zip(v.need) {
                 *f += n;
             }
-            plan.stops.push((v.job.clone(), v.task));
+            plan.stops.push((v.job.to_string(), v.task));
         }
         plan.reserved.push((h, item.id.to_string()));
     }
--- a/src/coordination/renewal.rs
+++ b/src/coordination/renewal.rs
@@ -211,10 +211,7 @@
         }
         r.flying = true;
         r.written = clock.now;
-        let rec = RenewRec {
-            term: r.under.0,
-            machines: r.machines.keys().cloned().collect(),
-        };
+        let rec = RenewRec::new(r.under.0, r.machines.keys());
         let key = renew_key(&self.settings.node);
         let held = self.mirror.renewals.get(&self.settings.node);
         // A write that got no answer and is carried out late must not replace a newer record.
@@ -226,7 +223,7 @@
             changes: vec![put(&key, &rec, None)],
         };
         self.store
-            .ask(Rank::First, Tag::Renewals(rec.machines), Ask::Txn(txn));
+            .ask(Rank::First, Tag::Renewals(rec.machines()), Ask::Txn(txn));
     }
 
     /// The record came back.
@@ -313,9 +310,7 @@
         if !r.active() {
             // What an earlier run of ours renewed has run out by now: say so.
             let mine = self.mirror.renewals.get(&self.settings.node);
-            let stale = mine
-                .filter(|(m, _)| !m.machines.is_empty())
-                .map(|(m, _)| m.term);
+            let stale = mine.filter(|(m, _)| !m.is_empty()).map(|(m, _)| m.term);
             if let (Some(term), Some((lead, version))) = (stale, &self.mirror.lead)
                 && term == lead.term
             {
--- a/src/coordination/tasks.rs
+++ b/src/coordination/tasks.rs
@@ -16,6 +16,11 @@
 const ORDER_AGAIN: Micros = Micros::millis(1000);
 /// A stop is repeated at this pace until the task is gone.
 const STOP_AGAIN: Micros = Micros::millis(1500);
+/// All workers are looked at for due commands at this pace, for what must be repeated; whatever
+/// happens to a worker or to the jobs on it has it looked at sooner.
+const SWEEP_EVERY: Micros = Micros::millis(1000);
+/// A worker that we answered this recently shows our term by itself with its next report.
+const TERM_SHOWS: Micros = Micros::millis(1200);
 /// How long a direct command may take.
 const ORDER_TIMEOUT: Micros = Micros::millis(2500);
 
@@ -81,24 +86,21 @@
             }
             continue;
         }
-        let key = (t.job.clone(), t.task, t.attempt);
-        let recent = w.stops.get(&key).is_some_and(|s| now < *s + STOP_AGAIN);
         let grace = if !active || !placed {
             Some(0.0)
         } else {
-            l.stopping
-                .get(&(t.job.clone(), t.task))
+            l.stop_of(&t.job, t.task)
                 .filter(|(g, _)| t.phase != Phase::Saving || *g == 0.0)
-                .map(|(g, _)| *g)
+                .map(|(g, _)| g)
         };
         // A task unknown to the copy is left alone until the copy has caught up: the job may
         // just have been accepted elsewhere.
         if job.is_none() && mirror.job(&t.job).is_none() {
             continue;
         }
-        if let Some(grace_s) = grace
-            && !recent
-        {
+        let Some(grace_s) = grace else { continue };
+        let key = (t.job.clone(), t.task, t.attempt);
+        if w.stops.get(&key).is_none_or(|s| now >= *s + STOP_AGAIN) {
             d.stops.push(key);
             d.commands.push(Command::Stop {
                 task: name(&t.job, t.task),
@@ -107,28 +109,24 @@
             });
         }
     }
-    for (id, task, attempt, session) in l.assigned(machine) {
-        if *session != w.session {
-            continue;
-        }
+    for (id, task) in mirror.placed(machine) {
         let Some(job) = mirror.jobs.get(id) else {
             continue;
         };
-        let Some(e) = job.entry(*task).filter(|e| e.attempt() == *attempt) else {
-            continue;
-        };
-        if e.machine() != Some(machine) {
+        let Some(e) = job.entry(*task) else { continue };
+        if e.machine() != Some(machine) || e.session() != w.session {
             continue;
         }
+        let attempt = e.attempt();
         match l.standing(id, e) {
             Standing::NotStarted | Standing::Unclear => {
-                let loose = w.has_loose(id, *task, *attempt);
+                let loose = w.has_loose(id, *task, attempt);
                 let wanted = job.active() && l.wanted(id, e);
-                if wanted && may_start && !l.writing(id) {
-                    d.starts.push((id.clone(), *task, *attempt));
+                if wanted && may_start && !l.edits.placing(id, *task) {
+                    d.starts.push((id.clone(), *task, attempt));
                     d.commands.push(Command::Start {
                         task: name(id, *task),
-                        attempt: *attempt,
+                        attempt,
                     });
                 } else if !wanted && loose {
                     d.fence = true;
@@ -145,7 +143,6 @@
     /// since then the worker may be out of our reach.
     pub fn commands_for(&mut self, clock: Clock, report: &Report, relayed: bool) -> Vec<Command> {
         let machine = &report.machine;
-        self.index_tasks();
         let Some(l) = &mut self.leader else {
             return Vec::new();
         };
@@ -171,30 +168,23 @@
             .collect()
     }
 
-    fn index_tasks(&mut self) {
-        if let Some(l) = &mut self.leader {
-            l.index(&self.mirror);
-        }
-    }
-
-    /// Sends direct commands to all workers that are due some; returns when to look again.
+    /// Sends direct commands to the workers that something has happened to, and now and then looks
+    /// at all of them; returns when that will be next.
     pub fn send_orders(&mut self, clock: Clock) -> Micros {
         let now = clock.now;
-        self.index_tasks();
         let Some(l) = &mut self.leader else {
             return Micros::FAR;
         };
-        if !l.orders_dirty && now < l.orders_at {
-            return l.orders_at;
-        }
-        l.orders_dirty = false;
-        l.orders_at = now + Micros::millis(500);
-        let names: Vec<String> = l
-            .workers
-            .iter()
-            .filter(|(_, w)| !w.ordering && w.order_again <= now && !w.is_over())
-            .map(|(n, _)| n.clone())
-            .collect();
+        let ready = |w: &Worker| !w.ordering && w.order_again <= now && !w.is_over();
+        let touched = std::mem::take(&mut l.touched);
+        let names: Vec<String> = if l.sweep_at <= now {
+            l.sweep_at = now + SWEEP_EVERY;
+            let all = l.workers.iter().filter(|(_, w)| ready(w));
+            all.map(|(n, _)| n.clone()).collect()
+        } else {
+            let of = |n: &String| l.workers.get(n).is_some_and(ready);
+            touched.into_iter().filter(of).collect()
+        };
         let mut fence = false;
         let mut calls = Vec::new();
         for machine in names {
@@ -206,7 +196,10 @@
             };
             // A worker that has not seen our term is told it with an empty list: that fences
             // whatever an older leader has sent.
-            let push = w.term != l.term && w.session > 0;
+            let shows = w
+                .answered
+                .is_some_and(|t| t >= l.since && now < t + TERM_SHOWS);
+            let push = w.term != l.term && w.session > 0 && !shows;
             if d.commands.is_empty() && !push {
                 continue;
             }
@@ -244,7 +237,7 @@
         if fence {
             self.raise_term();
         }
-        self.leader.as_ref().map_or(Micros::FAR, |l| l.orders_at)
+        self.leader.as_ref().map_or(Micros::FAR, |l| l.sweep_at)
     }
 
     /// Takes a higher term for ourselves: workers that see it no longer accept what was sent
@@ -283,7 +276,7 @@
             return;
         };
         w.ordering = false;
-        l.orders_dirty = true;
+        l.touched.insert(machine.to_string());
         let (status, body) = match outcome {
             Outcome::Reply { status, body } => (status, body),
             Outcome::NotSent => {
--- a/src/protocol/records.rs
+++ b/src/protocol/records.rs
@@ -27,12 +27,54 @@
 }
 
 /// Machines whose leases a follower renews on behalf of the leader with this term.
+///
+/// Hundreds of names must fit into one value, so each name is written as the number of characters
+/// it shares with the one before it, and the rest.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RenewRec {
     /// Term.
     pub term: u64,
-    /// Machines.
-    pub machines: Vec<String>,
+    /// Names in order, as shared length and rest.
+    names: Vec<(u16, String)>,
+}
+
+impl RenewRec {
+    /// Names the machines, which come in order.
+    pub fn new<'a>(term: u64, machines: impl Iterator<Item = &'a String>) -> RenewRec {
+        let mut last = "";
+        let mut names = Vec::new();
+        for m in machines {
+            let both = m.char_indices().zip(last.chars());
+            let differs = both.into_iter().find(|((_, a), b)| a != b);
+            let end = m.len().min(last.len());
+            let shared = differs.map_or(end, |((i, _), _)| i).min(u16::MAX as usize);
+            let shared = if m.is_char_boundary(shared) {
+                shared
+            } else {
+                0
+            };
+            names.push((shared as u16, m[shared..].to_string()));
+            last = m;
+        }
+        RenewRec { term, names }
+    }
+
+    /// The machines.
+    pub fn machines(&self) -> Vec<String> {
+        let mut last = String::new();
+        let mut all = Vec::with_capacity(self.names.len());
+        for (shared, rest) in &self.names {
+            let kept = last.get(..*shared as usize).unwrap_or("");
+            last = format!("{kept}{rest}");
+            all.push(last.clone());
+        }
+        all
+    }
+
+    /// Names none.
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
 }
 
 /// Key of a job.
@@ -176,3 +218,21 @@
     #[serde(rename = "c", default)]
     pub first: Chunk,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+
+    #[test]
+    fn six_hundred_machines_fit_into_one_value() {
+        let names: BTreeSet<String> = (40..700)
+            .filter(|i| i % 11 != 0)
+            .map(|i| format!("n-{i:06}"))
+            .chain(["é1".into(), "éa".into(), "x".into(), "xy".into()])
+            .collect();
+        let rec = RenewRec::new(7, names.iter());
+        assert!(crate::protocol::wire::encode(&rec).len() < 4096);
+        assert_eq!(rec.machines(), names.into_iter().collect::<Vec<_>>());
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1208,7 +1208,7 @@
             if let Some(l) = &n.leader {
                 out += &format!(
                     "  leads: term {} proof {} dirty {} edits {:?} batches {:?} stopping {:?}\n",
-                    l.term, l.proof, l.dirty, l.edits, l.batches, l.stopping
+                    l.term, l.proof, l.dirty, l.edits, l.touched, l.stopping
                 );
                 for (m, w) in &l.workers {
                     out += &format!(
