A gang that waits for its record is not broken; siblings vouch for renewals in an outage

Cause 2: a store silent for longer than cancel_s - lease_s - margin ended all renewals, though all three controllers were up and knew of no newer cancellation or lead. Each now says in its answer to a heartbeat what is the newest it knows of; while all do, the leader's bound runs from when it asked (docs/safety.md).

--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -101,6 +101,8 @@
     orphans: BTreeMap<String, BTreeMap<u32, (Chunk, u64)>>,
     /// Keys met during a rereading, to find those deleted meanwhile.
     met: Option<(BTreeSet<String>, u64)>,
+    /// Revision of the newest cancellation or change of the lead in the copy.
+    pub newest: u64,
     /// Counts changes of the renewals.
     pub renewals_changed: u64,
     /// Jobs whose records have changed since somebody last took the list.
@@ -212,6 +214,7 @@
                 && let Some(rec) = from_value::<LeadRec>(&value)
             {
                 self.lead = Some((rec, version));
+                self.newest = self.newest.max(version);
             }
         } else if key == LIVE {
             self.live = self.live.max(Some(version));
@@ -260,6 +263,9 @@
         if self.newest(id) >= version {
             return;
         }
+        if rec.stage == Stage::Cancelled {
+            self.newest = self.newest.max(version);
+        }
         self.changed.insert(id.to_string());
         let (old, mut chunks) = match self.jobs.remove(id) {
             Some(j) => (j.rec.first.entries, j.chunks),
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -31,6 +31,8 @@
     pub since: Micros,
     /// Start of the last read that showed that our term holds.
     pub proof: Micros,
+    /// When all siblings were asked that then knew of no newer cancellation and no newer lead.
+    pub vouched: Micros,
     /// A new term is being asked for.
     pub raising: bool,
     /// Workers by machine.
@@ -89,6 +91,7 @@
             version,
             since: clock.now,
             proof: Micros::ZERO,
+            vouched: Micros::ZERO,
             raising: false,
             workers: BTreeMap::new(),
             fleet: Fleet::new(clock),
@@ -248,7 +251,7 @@
     pub fn leader_report(&mut self, clock: Clock, conn: u64, report: Report, relayed: bool) {
         let grace = self.proof_grace();
         let Some(l) = &mut self.leader else { return };
-        if clock.now >= l.proof + grace {
+        if clock.now >= l.vouched.max(l.proof) + grace {
             // Renewing on could keep a task alive that was cancelled meanwhile.
             self.refuse(conn, 503, "the state service is silent for too long");
             return;
@@ -394,7 +397,7 @@
                 session,
             } => self.on_orders(clock, &machine, starts, term, session, outcome),
             CallTag::Cloud(ask) => self.on_cloud(clock, ask, outcome),
-            CallTag::Heartbeat(_) | CallTag::Relay(..) => {}
+            CallTag::Heartbeat(..) | CallTag::Relay(..) => {}
         }
     }
 
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -76,8 +76,8 @@
     },
     /// The cloud.
     Cloud(super::fleet::CloudAsk),
-    /// A heartbeat.
-    Heartbeat(usize),
+    /// A heartbeat: to which sibling, and when.
+    Heartbeat(usize, Micros),
     /// A worker's report handed on to the leader.
     Relay(u64, Box<Report>),
 }
@@ -144,6 +144,8 @@
     barrier_at: Micros,
     heartbeat_at: Micros,
     heartbeat_flying: Vec<bool>,
+    /// When each sibling was asked that last knew of nothing newer than we do.
+    vouched: Vec<Micros>,
     leader_heard: Option<(String, Micros)>,
     sibling_view: BTreeMap<String, (Micros, Option<u64>)>,
     /// Highest term that anybody has shown us; below it we never lead, whatever an old copy says.
@@ -185,6 +187,7 @@
             barrier_at: Micros::ZERO,
             heartbeat_at: clock.now,
             heartbeat_flying: vec![false; siblings],
+            vouched: vec![Micros::ZERO; siblings],
             leader_heard: None,
             sibling_view: BTreeMap::new(),
             highest: 0,
@@ -315,7 +318,13 @@
             match Heartbeat::decode(body) {
                 Some(h) if path == "/heartbeat" => {
                     self.on_heartbeat(clock, h);
-                    self.respond(conn, 200, &());
+                    let body = self.heartbeat(clock).encode();
+                    self.out.push(NetCmd::Respond {
+                        conn,
+                        status: 200,
+                        body,
+                        retry_after: None,
+                    });
                 }
                 _ if path == "/hello" => match decode::<Report>(body) {
                     Some(r) if self.leader.as_ref().is_some_and(|l| r.term <= l.term) => {
@@ -385,7 +394,7 @@
             return;
         }
         match self.calls.remove(&id) {
-            Some(CallTag::Heartbeat(i)) => self.heartbeat_flying[i] = false,
+            Some(CallTag::Heartbeat(i, sent)) => self.on_heartbeat_answer(clock, i, sent, outcome),
             Some(CallTag::Relay(conn, report)) => self.on_relay(clock, conn, *report, outcome),
             Some(tag) => self.leader_answer(clock, tag, outcome),
             None => {}
@@ -709,20 +718,7 @@
     fn heartbeats(&mut self, clock: Clock) -> Micros {
         if self.heartbeat_at <= clock.now {
             self.heartbeat_at = clock.now + HEARTBEAT_EVERY;
-            let grace = self.proof_grace();
-            let beat = Heartbeat {
-                node: self.settings.node.clone(),
-                leading: self
-                    .leader
-                    .as_ref()
-                    .filter(|l| clock.now < l.proof + grace)
-                    .map(|l| l.term),
-                leader_silent_ms: self
-                    .leader_heard
-                    .as_ref()
-                    .map(|(_, t)| clock.now.since(*t).0 / 1000),
-                revision: self.mirror.revision,
-            };
+            let beat = self.heartbeat(clock);
             let bytes = beat.encode();
             for i in 0..self.settings.siblings.len() {
                 if self.heartbeat_flying[i] {
@@ -731,7 +727,7 @@
                 self.heartbeat_flying[i] = true;
                 let addr = self.settings.siblings[i].address;
                 self.call(
-                    CallTag::Heartbeat(i),
+                    CallTag::Heartbeat(i, clock.now),
                     addr,
                     "POST",
                     "/heartbeat",
@@ -743,6 +739,51 @@
         self.heartbeat_at
     }
 
+    fn heartbeat(&self, clock: Clock) -> Heartbeat {
+        let grace = self.proof_grace();
+        Heartbeat {
+            node: self.settings.node.clone(),
+            leading: self
+                .leader
+                .as_ref()
+                .filter(|l| clock.now < l.vouched.max(l.proof) + grace)
+                .map(|l| l.term),
+            leader_silent_ms: self
+                .leader_heard
+                .as_ref()
+                .map(|(_, t)| clock.now.since(*t).0 / 1000),
+            newest: self.mirror.synced.then_some(self.mirror.newest),
+        }
+    }
+
+    /// A sibling has answered a heartbeat of ours, or not. If it knows of no cancellation and no
+    /// change of the lead that we do not know of, it vouches for our renewals as of when we asked.
+    fn on_heartbeat_answer(&mut self, clock: Clock, i: usize, sent: Micros, outcome: Outcome) {
+        self.heartbeat_flying[i] = false;
+        let Outcome::Reply { status: 200, body } = outcome else {
+            return;
+        };
+        let Some(h) = Heartbeat::decode(&body) else {
+            return;
+        };
+        if h.node != self.settings.siblings[i].node {
+            return;
+        }
+        // Only what the copy is complete up to counts: a commit of our own may have a higher
+        // revision than one of theirs that we have not seen.
+        let vouches = h.newest.is_some_and(|n| n <= self.mirror.revision);
+        self.on_heartbeat(clock, h);
+        if vouches {
+            self.vouched[i] = self.vouched[i].max(sent);
+            let all = self.vouched.iter().copied().min();
+            if let Some(l) = &mut self.leader
+                && let Some(all) = all
+            {
+                l.vouched = l.vouched.max(all);
+            }
+        }
+    }
+
     fn on_heartbeat(&mut self, clock: Clock, h: Heartbeat) {
         self.highest = self.highest.max(h.leading.unwrap_or(0));
         if let (Some(theirs), Some(l)) = (h.leading, &self.leader)
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -118,7 +118,11 @@
         let mut unknown_zone = false;
         let mut complete = false;
         let mut standing: Vec<(u32, Standing)> = Vec::new();
-        for e in job.entries().chain(&chosen) {
+        // A task with a new place has been proven gone from the old one. To count that attempt as
+        // lost beside the new one would take the gang for broken before it has started.
+        let replaced = |e: &&Entry| chosen.iter().any(|c| c.task() == e.task());
+        let recorded = job.entries().filter(|e| !replaced(e));
+        for e in recorded.chain(&chosen) {
             let Some(m) = e.machine() else { continue };
             let s = self.standing(id, e);
             if !self.presumed(id, e, job.active()) {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -11,8 +11,9 @@
     pub leading: Option<u64>,
     /// Milliseconds since the sender last heard the leader it knows of; none: never.
     pub leader_silent_ms: Option<u64>,
-    /// Highest revision of the store that the sender has seen.
-    pub revision: u64,
+    /// Revision of the newest cancellation or change of the lead that the sender knows of; none
+    /// before it has read the records, since its earlier run may have known of a newer one.
+    pub newest: Option<u64>,
 }
 
 impl Heartbeat {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -285,6 +285,57 @@
     assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
 }
 
+#[test]
+fn a_long_store_outage_kills_nothing_while_all_controllers_vouch_for_one_another() {
+    let mut w = settled(31, 3);
+    w.user("req-1", job(Kind::Service, 3, 1.0), 0);
+    w.user("req-2", job(Kind::Service, 1, 1.0), 0);
+    w.run(10);
+    w.cancel_surely("req-2");
+    w.run(3);
+    w.store.outage = true;
+    w.run(50);
+    let now = w.now;
+    w.store.end_outage(now);
+    w.run(20);
+    assert!(w.on("req-2/0").is_empty());
+    assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
+}
+
+#[test]
+fn without_one_of_them_a_long_store_outage_ends_the_renewals_in_time() {
+    let mut w = settled(32, 3);
+    w.user("req-1", job(Kind::Service, 3, 1.0), 0);
+    w.run(10);
+    w.store.outage = true;
+    // What it has told its users last, nobody can vouch for.
+    let other = (0..3).find(|i| Some(*i) != w.leader()).unwrap();
+    w.crash(other, 4 * SEC);
+    w.run(45);
+    assert!((0..3).all(|t| w.on(&format!("req-1/{t}")).is_empty()));
+    let now = w.now;
+    w.store.end_outage(now);
+    w.run(60);
+    assert!((0..3).all(|t| w.on(&format!("req-1/{t}")).len() == 1));
+}
+
+#[test]
+fn a_gang_that_waits_for_its_record_is_not_taken_for_broken() {
+    // A change takes two seconds: passes come and go before the second attempt is on record.
+    let mut w = World::with_budget(33, 3, 2, 1.0);
+    w.run(20);
+    let gangs: Vec<String> = (1..=4).map(|n| format!("req-{n}")).collect();
+    for id in &gangs {
+        w.user(id, job(Kind::Gang, 1, 1.0), 60 * SEC);
+    }
+    w.run(40);
+    let m = w.on("req-1/0").into_iter().next().unwrap();
+    w.workers.get_mut(&m).unwrap().alive = false;
+    w.run(180);
+    assert!(gangs.iter().all(|id| w.job_done(id)));
+    assert!(w.starts.values().all(|n| *n <= 2), "{:?}", w.starts);
+}
+
 #[test]
 fn a_gang_that_loses_a_member_starts_anew_as_a_whole() {
     let mut w = settled(12, 4);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -103,6 +103,7 @@
     open: BTreeMap<(usize, u64, u64), ()>,
     cuts: Vec<(Party, Party, Cut, u64)>,
     pub lose_answers: Vec<(Party, u64)>,
+    write_rps: f64,
     pub delay_orders: Option<u64>,
     conns: BTreeMap<(usize, u64), Pending>,
     pub jobs: BTreeMap<String, JobTruth>,
@@ -194,7 +195,13 @@
 
 impl World {
     pub fn new(seed: u64, nodes: usize, machines: usize) -> World {
+        World::with_budget(seed, nodes, machines, 60.0)
+    }
+
+    /// A world whose state service takes so many changes a second.
+    pub fn with_budget(seed: u64, nodes: usize, machines: usize, write_rps: f64) -> World {
         let mut w = World {
+            write_rps,
             now: SEC,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
@@ -269,7 +276,9 @@
         let n = self.nodes.len().max(3);
         let seed = self.rng.random();
         let clock = self.clock();
-        let node = Node::new(settings(i, n), Policy::default(), seed, clock);
+        let mut settings = settings(i, n);
+        settings.params.state.write_rps = self.write_rps;
+        let node = Node::new(settings, Policy::default(), seed, clock);
         self.nodes[i].node = Some(node);
         self.nodes[i].run += 1;
         self.nodes[i].wake = 0;
