A new leader first learns who is there; machines about to take tasks count as coming

It now makes room and rents only after three report intervals. Machines that have reported and not yet shown our term were neither free nor coming, so waves of them were rented twice.

The actors sleep parked and a short read ends reading.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -120,7 +120,11 @@
     /// Its worker has reported.
     pub fn met(&mut self, name: &str, r: &Report, now: Micros) {
         if let Some(m) = self.machines.get_mut(name) {
-            m.met = true;
+            if !m.met {
+                m.met = true;
+                let age = now.since(m.rented).as_secs();
+                log::info!("{name}: up, {age:.0} s after it was rented");
+            }
             return;
         }
         let m = self.machines.entry(name.to_string()).or_insert_with(|| {
@@ -397,8 +401,16 @@
         }
     }
 
-    /// Rents what lacks, and picks what to return. `hosts`: as they are after this pass.
-    pub fn plan_fleet(&mut self, clock: Clock, hosts: &Hosts, names: &mut Names, lacks: &[Lack]) {
+    /// Rents what lacks, unless we are too new to know, and picks what to return. `hosts`: as they
+    /// are after this pass.
+    pub fn plan_fleet(
+        &mut self,
+        clock: Clock,
+        hosts: &Hosts,
+        names: &mut Names,
+        lacks: &[Lack],
+        learnt: bool,
+    ) {
         let now = clock.now;
         let types: Vec<MachineType> = self.mirror.types.clone().unwrap_or_default();
         let lag = Micros::secs(self.settings.params.cloud.list_lag_s * 3.0);
@@ -417,7 +429,7 @@
                 f.wanted.push_back(CloudAsk::Rent(rent.clone()));
             }
         }
-        if lacks.is_empty() {
+        if lacks.is_empty() || !learnt {
             return;
         }
         let mut coming: Vec<Host> = Vec::new();
@@ -447,6 +459,16 @@
             if (!m.met || lost) && !m.leaving {
                 coming.extend(fresh(&m.kind, &m.zone, m.spot));
             }
+            // One that has reported and not yet shown our term is about to take tasks. Left out, a
+            // wave of machines that come up together would be rented a second time.
+            if let Some(h) = hosts.find(name)
+                && l.workers.get(name).is_some_and(|w| w.term < l.term)
+                && !m.leaving
+            {
+                let mut host = hosts.list[h].clone();
+                host.open = true;
+                coming.push(host);
+            }
         }
         for (r, _) in f.renting.values() {
             for _ in 0..r.count {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -27,8 +27,10 @@
     pub term: u64,
     /// Version of the leader's record: the condition of everything we write.
     pub version: u64,
-    /// When we took the lead.
+    /// When our present term began.
     pub since: Micros,
+    /// When we took the lead.
+    pub led_since: Micros,
     /// Start of the last read that showed that our term holds.
     pub proof: Micros,
     /// When all siblings were asked that then knew of no newer cancellation and no newer lead.
@@ -78,6 +80,9 @@
 pub const FRESH_REPORTS: f64 = 2.5;
 /// Starts are sent, and passes made, only this soon after a proof.
 pub const START_PROOF: Micros = Micros::millis(4000);
+/// After a takeover it takes a worker up to this many report intervals, and as many tries, to reach
+/// the new leader.
+const LEARNING_REPORTS: f64 = 3.0;
 /// Leases are looked through no more often than this: they last seconds.
 const LEASES_EVERY: Micros = Micros::millis(200);
 /// With nothing new, a pass comes this often all the same.
@@ -90,6 +95,7 @@
             term,
             version,
             since: clock.now,
+            led_since: clock.now,
             proof: Micros::ZERO,
             vouched: Micros::ZERO,
             raising: false,
@@ -149,6 +155,13 @@
             && self.stop_of(job, e.task()).is_none()
     }
 
+    /// Long enough in the lead to know who is there. A new leader has met only some of the machines:
+    /// if it stopped tasks to make room, or rented, it would do so for want of room that is there.
+    pub fn learnt(&self, s: &Settings, now: Micros) -> bool {
+        let learning = Micros::secs(s.params.workers.report_s * LEARNING_REPORTS);
+        self.term <= 1 || now.since(self.led_since) >= learning
+    }
+
     /// The stop that is wanted of a task: its grace, and since when.
     pub fn stop_of(&self, job: &str, task: u32) -> Option<(f64, Micros)> {
         self.stopping.get(job)?.get(&task).copied()
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -305,6 +305,10 @@
                 h.reserved = None;
             }
         }
+        let learnt = l.learnt(&self.settings, now);
+        if !learnt {
+            victims.clear();
+        }
         let plan = queue::pass(
             &items,
             &mut hosts.list,
@@ -372,7 +376,7 @@
         if l.order_of.len() > ORDERS {
             l.order_of.retain(|id, _| jobs.contains_key(id));
         }
-        self.plan_fleet(clock, &hosts, &mut names, &plan.lacks);
+        self.plan_fleet(clock, &hosts, &mut names, &plan.lacks, learnt);
     }
 }
 
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -4,8 +4,12 @@
 use crate::coordination::policy::Policy;
 use crate::protocol::{Micros, Settings};
 use crate::transport::net::{Listeners, Net};
+use crossbeam_channel::TryRecvError;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Without news the actors are not called more often than this.
+const LEAST_SLEEP: Micros = Micros::millis(1);
+
 /// Why the service could not start or go on.
 #[derive(Debug, thiserror::Error)]
 pub enum ShellError {
@@ -38,8 +42,9 @@
         .map_err(|e| ShellError::Listen(settings.serve_on, settings.internal_addr, e))?;
     let (events_tx, events) = crossbeam_channel::unbounded();
     let sockets = settings.params.limits.sockets;
+    let taker = std::thread::current();
     let (net, handle) =
-        Net::new(listeners, events_tx, sockets, started).map_err(ShellError::Net)?;
+        Net::new(listeners, events_tx, taker, sockets, started).map_err(ShellError::Net)?;
     std::thread::Builder::new()
         .name("network".into())
         .spawn(move || net.run())
@@ -53,20 +58,23 @@
     let mut node = Node::new(settings, policy, rand::random(), clock(started));
     let mut batch = Vec::new();
     loop {
-        let (out, next) = node.handle(clock(started), std::mem::take(&mut batch));
+        let now = clock(started);
+        let (out, next) = node.handle(now, std::mem::take(&mut batch));
+        let next = next.max(now.now + LEAST_SLEEP);
         handle.send(out);
-        let wait = next.since(clock(started).now).0.max(1000);
-        match events.recv_timeout(Duration::from_micros(wait)) {
-            Ok(first) => {
-                batch = first;
-                while let Ok(more) = events.try_recv() {
-                    batch.extend(more);
+        loop {
+            match events.try_recv() {
+                Ok(more) => batch.extend(more),
+                Err(TryRecvError::Disconnected) => return Err(ShellError::NetEnded),
+                Err(TryRecvError::Empty) if !batch.is_empty() => break,
+                Err(TryRecvError::Empty) => {
+                    let now = clock(started).now;
+                    if next <= now {
+                        break;
+                    }
+                    std::thread::park_timeout(Duration::from_micros(next.since(now).0));
                 }
             }
-            Err(crossbeam_channel::RecvTimeoutError::Timeout) => {}
-            Err(crossbeam_channel::RecvTimeoutError::Disconnected) => {
-                return Err(ShellError::NetEnded);
-            }
         }
     }
 }
--- a/src/transport/net.rs
+++ b/src/transport/net.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
+use std::thread::Thread;
 use std::time::{Duration, Instant};
 
 const WAKE: Token = Token(0);
@@ -52,6 +53,14 @@
     writable_wanted: bool,
 }
 
+/// What a socket is ready for; `ends`: the other side will send no more, or has gone.
+#[derive(Clone, Copy)]
+struct Ready {
+    readable: bool,
+    writable: bool,
+    ends: bool,
+}
+
 /// Bound listeners.
 pub struct Listeners {
     public: TcpListener,
@@ -91,6 +100,9 @@
     listeners: Listeners,
     cmds: Receiver<Vec<NetCmd>>,
     events: Sender<Vec<NetEvent>>,
+    /// Who takes the events. It sleeps parked: a blocking receive would first spin and yield,
+    /// which on a small share of a core costs more than the work.
+    taker: Thread,
     conns: HashMap<usize, Conn>,
     serials: HashMap<u64, usize>,
     idle: HashMap<SocketAddr, Vec<usize>>,
@@ -104,10 +116,11 @@
 }
 
 impl Net {
-    /// Prepares the thread; `sockets` is the process's limit.
+    /// Prepares the thread; `taker` is woken for events, `sockets` is the process's limit.
     pub fn new(
         mut listeners: Listeners,
         events: Sender<Vec<NetEvent>>,
+        taker: Thread,
         sockets: usize,
         started: Instant,
     ) -> std::io::Result<(Net, Handle)> {
@@ -123,6 +136,7 @@
             listeners,
             cmds,
             events,
+            taker,
             conns: HashMap::new(),
             serials: HashMap::new(),
             idle: HashMap::new(),
@@ -159,19 +173,24 @@
                 log::error!("network: poll failed: {e}");
                 std::thread::sleep(Duration::from_millis(50));
             }
-            let tokens: Vec<(Token, bool, bool)> = ready
+            let tokens: Vec<(Token, Ready)> = ready
                 .iter()
                 .map(|e| {
                     let ends = e.is_error() || e.is_read_closed() || e.is_write_closed();
-                    (e.token(), e.is_readable() || ends, e.is_writable() || ends)
+                    let ready = Ready {
+                        readable: e.is_readable() || ends,
+                        writable: e.is_writable() || ends,
+                        ends,
+                    };
+                    (e.token(), ready)
                 })
                 .collect();
-            for (token, readable, writable) in tokens {
+            for (token, ready) in tokens {
                 match token {
                     WAKE => {}
                     PUBLIC => self.accept(false),
                     INTERNAL => self.accept(true),
-                    Token(t) => self.on_ready(t, readable, writable),
+                    Token(t) => self.on_ready(t, ready),
                 }
             }
             while let Ok(batch) = self.cmds.try_recv() {
@@ -185,6 +204,7 @@
                 if self.events.send(batch).is_err() {
                     return;
                 }
+                self.taker.unpark();
             }
         }
     }
@@ -424,8 +444,8 @@
         }
     }
 
-    fn on_ready(&mut self, t: usize, readable: bool, writable: bool) {
-        if writable {
+    fn on_ready(&mut self, t: usize, ready: Ready) {
+        if ready.writable {
             let mut failed = false;
             if let Some(c) = self.conns.get_mut(&t)
                 && let Role::Client { connected, .. } = &mut c.role
@@ -443,8 +463,8 @@
             }
             self.flush(t);
         }
-        if readable {
-            self.read(t);
+        if ready.readable {
+            self.read(t, ready.ends);
         }
     }
 
@@ -495,7 +515,7 @@
         }
     }
 
-    fn read(&mut self, t: usize) {
+    fn read(&mut self, t: usize, ends: bool) {
         let Some(c) = self.conns.get_mut(&t) else {
             return;
         };
@@ -513,6 +533,10 @@
                     if server && c.input.len() > 2 * http::MAX_BODY {
                         break;
                     }
+                    // A short read has emptied the socket; what comes later is told anew.
+                    if n < chunk.len() && !ends {
+                        break;
+                    }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -26,7 +26,7 @@
     let listeners = Listeners::bind(state, cloud).unwrap();
     let (tx, rx) = crossbeam_channel::unbounded();
     let started = Instant::now();
-    let (net, handle) = Net::new(listeners, tx, 200, started).unwrap();
+    let (net, handle) = Net::new(listeners, tx, std::thread::current(), 200, started).unwrap();
     std::thread::spawn(move || net.run());
     std::thread::spawn(move || {
         let mut kept = store::FakeStore::default();
