A job keeps off machines that failed it; a machine is suspect after one error

A job now avoids where it failed, an error makes the machine suspect for 30 s unless the job fails everywhere, and only a completed task clears it. A job that fails on more than two machines in a row waits, unless tasks of it run.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -15,9 +15,11 @@
 /// Trouble with a job's tasks.
 #[derive(Debug, Clone, Default)]
 pub struct Trouble {
-    /// Machines on which it has failed in a row.
-    pub machines: BTreeSet<String>,
-    /// Not tried before this.
+    /// Machines on which it has failed, and when last: it is not tried there again for a while.
+    pub machines: BTreeMap<String, Micros>,
+    /// On how many different machines it has failed since a task of it last ran well.
+    pub row: u32,
+    /// Not tried before this, unless some of its tasks run well.
     pub again: Micros,
 }
 
@@ -83,6 +85,13 @@
 /// After a takeover it takes a worker up to this many report intervals, and as many tries, to reach
 /// the new leader.
 const LEARNING_REPORTS: f64 = 3.0;
+/// A job is kept off a machine on which it has failed for this long.
+const AVOIDED: Micros = Micros::millis(180_000);
+/// A machine on which a job has failed gets nothing new for this long: if it is the machine, the
+/// next job there, a gang perhaps, would fail as well.
+const SUSPECT: Micros = Micros::millis(30_000);
+/// A job that has failed on more machines than this in a row is at fault itself.
+const JOBS_FAULT: u32 = 2;
 /// Leases are looked through no more often than this: they last seconds.
 const LEASES_EVERY: Micros = Micros::millis(200);
 /// With nothing new, a pass comes this often all the same.
@@ -249,6 +258,26 @@
     w.errors.len() as f64 >= policy.sick_after
 }
 
+impl Leader {
+    /// Whether a machine may be the reason why a job has just failed on it.
+    pub fn suspect(&self, w: &Worker, now: Micros) -> bool {
+        w.errors.iter().any(|(t, job)| {
+            now < *t + SUSPECT && self.troubles.get(job).is_none_or(|x| x.row <= JOBS_FAULT)
+        })
+    }
+
+    /// Forgets what failed long ago.
+    pub fn forgive(&mut self, now: Micros) {
+        self.troubles.retain(|_, t| {
+            t.machines.retain(|_, at| now < *at + AVOIDED);
+            !t.machines.is_empty() || now < t.again
+        });
+        for w in self.workers.values_mut() {
+            w.errors.retain(|(at, _)| now < *at + AVOIDED);
+        }
+    }
+}
+
 /// Grace for a stop that lets the task save.
 pub fn grace(job: &Job) -> f64 {
     let s = &job.rec.spec;
@@ -353,10 +382,8 @@
             );
             let (id, task, phase, why) = (t.job.clone(), t.task, t.phase, t.why);
             if matches!(phase, Phase::Running | Phase::Waiting) {
-                l.troubles.remove(&id);
                 w.images.retain(|(i, _)| *i != spec.image);
                 w.images.push((spec.image.clone(), spec.image_gb));
-                w.errors.clear();
             }
             if phase != Phase::Exited {
                 continue;
@@ -370,14 +397,26 @@
                     edit.done.insert(task);
                 }
             }
+            if why == Some(Why::Done) {
+                w.errors.clear();
+                if let Some(t) = l.troubles.get_mut(&id) {
+                    t.row = 0;
+                }
+            }
             if matches!(why, Some(Why::Error | Why::NoRoom)) {
                 log::info!("{name}: task {id}/{task} ended: {why:?}");
                 let trouble = l.troubles.entry(id.clone()).or_default();
-                trouble.machines.insert(name.to_string());
-                let n = trouble.machines.len().min(6) as u32;
-                let wait = if n <= 1 { 0 } else { 1000 << n };
-                trouble.again = clock.now + Micros::millis(wait);
-                if why == Some(Why::Error) && w.errors.iter().all(|(_, j)| *j != id) {
+                if why == Some(Why::NoRoom) {
+                    // What we took for room was none; the next reports will show.
+                    trouble.again = trouble.again.max(clock.now + Micros::millis(1000));
+                    continue;
+                }
+                let before = trouble.machines.insert(name.to_string(), clock.now);
+                trouble.row += u32::from(before.is_none());
+                if trouble.row > JOBS_FAULT {
+                    trouble.again = clock.now + Micros::millis(1000 << trouble.row.min(6));
+                }
+                if w.errors.iter().all(|(_, j)| *j != id) {
                     w.errors.push((clock.now, id));
                 }
             }
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -1,7 +1,7 @@
 //! One pass: the fleet and the queue as they stand, put before the pure `queue::pass`, and what it
 //! decides turned into wanted records, stops and rentals.
 
-use super::leader::{FRESH_REPORTS, Leader, grace, sick};
+use super::leader::{FRESH_REPORTS, Leader, Trouble, grace, sick};
 use super::node::{Clock, Node};
 use super::placement::{Host, Names, Shape};
 use super::queue::{self, Item, Room, Victim};
@@ -72,7 +72,8 @@
                 && now < w.heard + fresh
                 && w.notice.is_none()
                 && !self.fleet.leaving(name)
-                && !sick(w, policy);
+                && !sick(w, policy)
+                && !self.suspect(w, now);
             let total = [t.cpus, t.gpus, t.memory_gb];
             hosts.index.insert(name.clone(), hosts.list.len());
             hosts.names.push(name.clone());
@@ -117,6 +118,7 @@
         let mut latest = 0;
         let mut unknown_zone = false;
         let mut complete = false;
+        let mut runs = false;
         let mut standing: Vec<(u32, Standing)> = Vec::new();
         // A task with a new place has been proven gone from the old one. To count that attempt as
         // lost beside the new one would take the gang for broken before it has started.
@@ -134,6 +136,7 @@
                 continue;
             }
             latest = latest.max(e.attempt());
+            runs |= s == Standing::There(Phase::Running);
             if spec.kind == Kind::Gang {
                 standing.push((e.task(), s));
             }
@@ -217,11 +220,18 @@
             }
             return None;
         }
-        let held_off = self.troubles.get(id).is_some_and(|t| t.again > now);
+        // A job that fails wherever it is tried waits longer and longer, unless tasks of it do run.
+        let trouble = self.troubles.get(id);
+        let held_off = trouble.is_some_and(|t| t.again > now) && !runs && job.done_count() == 0;
         if in_flight || held_off {
             self.dirty |= held_off;
             return None;
         }
+        let avoid = |t: &Trouble| t.machines.keys().filter_map(|m| hosts.find(m)).collect();
+        let shape = Shape {
+            avoid: trouble.map(avoid).unwrap_or_default(),
+            ..shape
+        };
         // Zones of tasks nobody can place are unknown: such a job waits.
         if (spec.one_zone || spec.spread) && unknown_zone {
             return None;
@@ -271,6 +281,7 @@
     pub fn pass(&mut self, clock: Clock) {
         let Some(l) = &mut self.leader else { return };
         let now = clock.now;
+        l.forgive(now);
         let mut names = Names::default();
         let mut hosts = l.hosts(&self.settings, &self.policy, &self.mirror, &mut names, now);
         let mut room: Room = Room::new();
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -54,6 +54,8 @@
     pub spot: bool,
     /// Its image.
     pub image: u32,
+    /// Machines on which it has failed.
+    pub avoid: Vec<usize>,
 }
 
 impl Shape {
@@ -68,6 +70,7 @@
             zone: spec.zone.as_ref().map(|z| names.id(z)),
             spot: spec.spot,
             image: names.id(&spec.image),
+            avoid: Vec::new(),
         }
     }
 }
@@ -219,7 +222,7 @@
         let mut apart = Vec::new();
         let mut shared = Vec::new();
         for (i, h) in hosts.iter().enumerate() {
-            if may_take(h, id, shape) {
+            if may_take(h, id, shape) && !shape.avoid.contains(&i) {
                 let list = if keep_apart && has(i) {
                     &mut shared
                 } else {
@@ -277,7 +280,7 @@
     let mut order: Vec<Rank> = hosts
         .iter()
         .enumerate()
-        .filter(|(_, h)| may_take(h, id, shape))
+        .filter(|(i, h)| may_take(h, id, shape) && !shape.avoid.contains(i))
         .map(|(i, h)| rank(i, h, shape, ratio))
         .collect();
     order.sort_by(|a, b| b.cmp(a));
@@ -363,6 +366,7 @@
                 zone: rng.random_bool(0.2).then_some(10),
                 spot: rng.random_bool(0.5),
                 image: 21,
+                avoid: Vec::new(),
             };
             let ratio = rng.random_range(0.0..1.0);
             let apart = rng.random_bool(0.5);
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -86,6 +86,14 @@
 /// pass must not grow with the length of the queue times the size of the fleet.
 const MAKE_WAY: usize = 8;
 
+/// What a machine to be rented must have; it is none of those that the job avoids.
+fn lacking(item: &Item<'_>) -> Shape {
+    Shape {
+        avoid: Vec::new(),
+        ..item.shape.clone()
+    }
+}
+
 fn team_slots(room: &Room, spec: &Spec) -> u32 {
     let Some([cpus, gpus]) = room.get(&spec.team) else {
         return u32::MAX;
@@ -136,7 +144,7 @@
         }
         plan.lacks.push(Lack {
             job: item.id.to_string(),
-            shape: item.shape.clone(),
+            shape: lacking(item),
             tasks: short,
         });
         if item.spec.kind != Kind::Array && plan.places.len() == before && tries > 0 {
@@ -155,7 +163,7 @@
         if short > 0 {
             plan.lacks.push(Lack {
                 job: item.id.to_string(),
-                shape: item.shape.clone(),
+                shape: lacking(item),
                 tasks: short,
             });
             if item.spec.kind == Kind::Gang && tries > 0 {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -407,6 +407,44 @@
     assert!(w.deleted.contains("n-000001"));
 }
 
+#[test]
+fn a_gang_is_not_tried_again_on_the_machine_that_failed_it() {
+    let mut w = settled(34, 3);
+    let busy = ["n-000002", "n-000003"];
+    w.workers.get_mut("n-000001").unwrap().errors = true;
+    // The sick machine is the empty one, which looks best to a gang of whole machines.
+    for (i, _) in busy.iter().enumerate() {
+        w.user(&format!("req-{i}"), job(Kind::Service, 1, 1.0), 0);
+    }
+    w.run(4);
+    w.user("req-7", job(Kind::Gang, 1, 8.0), 4 * SEC);
+    w.user("req-8", job(Kind::Gang, 1, 8.0), 4 * SEC);
+    w.run(60);
+    assert!(w.job_done("req-7") && w.job_done("req-8"));
+    assert!(
+        w.starts["req-7/0"] <= 2 && w.starts["req-8/0"] <= 2,
+        "{:?}",
+        w.starts
+    );
+}
+
+#[test]
+fn a_job_that_fails_everywhere_leaves_the_machines_to_others() {
+    let mut w = settled(35, 3);
+    w.user("req-1", job(Kind::Array, 12, 1.0), 2 * SEC);
+    w.broken_jobs.insert("req-1".into());
+    w.run(30);
+    for i in 2..8 {
+        w.user(&format!("req-{i}"), job(Kind::Array, 2, 2.0), 2 * SEC);
+    }
+    w.run(60);
+    assert!((2..8).all(|i| w.job_done(&format!("req-{i}"))));
+    let tries: u32 = (0..12)
+        .filter_map(|t| w.starts.get(&format!("req-1/{t}")))
+        .sum();
+    assert!(tries < 120, "{tries} starts in 90 s");
+}
+
 #[test]
 fn a_controller_that_leads_twice_rents_under_new_names() {
     let mut w = settled(19, 1);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -104,6 +104,8 @@
     cuts: Vec<(Party, Party, Cut, u64)>,
     pub lose_answers: Vec<(Party, u64)>,
     write_rps: f64,
+    /// Jobs submitted with a mistake: their tasks fail on every machine.
+    pub broken_jobs: BTreeSet<String>,
     pub delay_orders: Option<u64>,
     conns: BTreeMap<(usize, u64), Pending>,
     pub jobs: BTreeMap<String, JobTruth>,
@@ -202,6 +204,7 @@
     pub fn with_budget(seed: u64, nodes: usize, machines: usize, write_rps: f64) -> World {
         let mut w = World {
             write_rps,
+            broken_jobs: BTreeSet::new(),
             now: SEC,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
@@ -772,8 +775,9 @@
             let id = key.0.rsplit_once('/').map(|(i, _)| i.to_string()).unwrap();
             let n: u32 = key.0.rsplit_once('/').unwrap().1.parse().unwrap();
             let truth = self.jobs[&id].clone();
+            let broken = self.broken_jobs.contains(&id);
             let w = self.workers.get_mut(name).unwrap();
-            let errors = w.errors;
+            let errors = w.errors || broken;
             let t = w.tasks.get_mut(&key).unwrap();
             match t.phase {
                 Phase::Fetching if errors => w.exit(&key, Why::Error, false),
