Users of a controller that the state service refuses are served by a sibling

It now hands submissions, polls and cancellations on to a sibling that says in its heartbeats that the store serves it; what memory answers for good is answered here, and nothing is handed on twice. Story included.

--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -82,6 +82,8 @@
     writes: Pace,
     queues: [VecDeque<Queued<T>>; 3],
     flying: BTreeMap<u64, (T, Ask, Micros)>,
+    /// Weight of the failures in a row: no answer counts 1, a refusal to serve counts 2.
+    failing: u32,
 }
 
 impl<T> Store<T> {
@@ -93,6 +95,7 @@
             writes: Pace::new(wps, wps),
             queues: [VecDeque::new(), VecDeque::new(), VecDeque::new()],
             flying: BTreeMap::new(),
+            failing: 0,
         }
     }
 
@@ -249,8 +252,19 @@
     pub fn on_answer(&mut self, id: u64, outcome: &Outcome) -> Option<(T, Ask, Micros, Reply)> {
         let (tag, ask, sent) = self.flying.remove(&id)?;
         let reply = read_reply(&ask, outcome);
+        match (&reply, outcome) {
+            (_, Outcome::Reply { status: 429, .. }) => {}
+            (Reply::Refused, _) => self.failing += 2,
+            (Reply::Lost, _) => self.failing += 1,
+            _ => self.failing = 0,
+        }
         Some((tag, ask, sent, reply))
     }
+
+    /// The state service does not serve us, whatever it does for others.
+    pub fn silent(&self) -> bool {
+        self.failing >= 2
+    }
 }
 
 fn write_count(ask: &Ask) -> f64 {
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -1,6 +1,6 @@
 //! Users: submissions, polls and cancellations, on any controller.
 
-use super::node::{Clock, Node, Tag, cond, put};
+use super::node::{CallTag, Clock, HANDED_ON, Node, Tag, cond, put};
 use super::placement;
 use crate::bookkeeping::mirror::{Job, Known};
 use crate::bookkeeping::store::{Ask, Rank, Reply};
@@ -8,6 +8,7 @@
 use crate::protocol::records::{Chunk, JobRec, Stage, job_key};
 use crate::protocol::wire::{Change, JobState, MachineType, Txn, encode};
 use crate::protocol::{Kind, Micros, Settings, Spec};
+use crate::transport::{NetCmd, Outcome};
 use std::collections::BTreeMap;
 
 /// What waits for the copy to catch up.
@@ -64,6 +65,9 @@
 const SUBMIT_PATIENCE: Micros = Micros::millis(4000);
 /// Submissions are queued up to what the store takes in this many seconds.
 const QUEUE_S: f64 = 2.5;
+/// How long a sibling may take over a request of ours; users wait 2 s for a poll, 5 s else.
+const POLL_HANDED_ON: Micros = Micros::millis(1500);
+const SUBMIT_HANDED_ON: Micros = Micros::millis(4500);
 /// After a lost answer the same transaction is tried again this much later.
 const AGAIN: Micros = Micros::millis(150);
 /// Transactions of acceptance in flight at once.
@@ -133,6 +137,49 @@
 }
 
 impl Node {
+    /// Hands a user's request on to a sibling if the state service serves that one and not us;
+    /// tells whether it did. What memory can answer for good is answered here.
+    pub fn hand_on(
+        &mut self,
+        clock: Clock,
+        conn: u64,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> bool {
+        let Some(rest) = path.strip_prefix("/submissions") else {
+            return false;
+        };
+        if let Some(Known::Over(_)) = self.mirror.job(rest.trim_start_matches('/')) {
+            return false;
+        }
+        let (method, timeout) = match method {
+            "GET" => ("GET", POLL_HANDED_ON),
+            "POST" => ("POST", SUBMIT_HANDED_ON),
+            _ => return false,
+        };
+        let Some(addr) = self.better_placed(clock) else {
+            return false;
+        };
+        let path = format!("{HANDED_ON}{path}");
+        let tag = CallTag::User(conn);
+        self.call(tag, addr, method, &path, body.to_vec(), timeout);
+        true
+    }
+
+    /// The sibling has answered, or not.
+    pub fn on_handed_on(&mut self, conn: u64, outcome: Outcome) {
+        match outcome {
+            Outcome::Reply { status, body } => self.out.push(NetCmd::Respond {
+                conn,
+                status,
+                body,
+                retry_after: (status == 503).then_some(1),
+            }),
+            _ => self.refuse(conn, 503, "the state service does not answer"),
+        }
+    }
+
     /// POST /submissions.
     pub fn on_submit(&mut self, clock: Clock, conn: u64, body: &[u8]) {
         let (id, spec) = match parse(body) {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -449,7 +449,7 @@
                 session,
             } => self.on_orders(clock, &machine, starts, term, session, outcome),
             CallTag::Cloud(ask) => self.on_cloud(clock, ask, outcome),
-            CallTag::Heartbeat(..) | CallTag::Relay(..) => {}
+            CallTag::Heartbeat(..) | CallTag::Relay(..) | CallTag::User(..) => {}
         }
     }
 
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -78,6 +78,8 @@
     Cloud(super::fleet::CloudAsk),
     /// A heartbeat: to which sibling, and when.
     Heartbeat(usize, Micros),
+    /// A user's request handed on to a sibling that the state service serves.
+    User(u64),
     /// A worker's report handed on to the leader.
     Relay(u64, Box<Report>),
 }
@@ -94,9 +96,18 @@
 /// barriers of polls are as far apart: the rest of the budget is for what users wait for longer.
 const FOLLOW_SHARE: f64 = 5.0;
 const BARRIER_SHARE: f64 = 3.0;
+/// Path under which siblings take users' requests from one another.
+pub const HANDED_ON: &str = "/user";
 /// A leader catches up with the store at least this often.
 const PROOF_EVERY: Micros = Micros::millis(1000);
 
+/// What a sibling last told.
+struct SiblingView {
+    heard: Micros,
+    leader_silent_ms: Option<u64>,
+    served: bool,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum ClaimState {
     Idle,
@@ -147,7 +158,7 @@
     /// When each sibling was asked that last knew of nothing newer than we do.
     vouched: Vec<Micros>,
     leader_heard: Option<(String, Micros)>,
-    sibling_view: BTreeMap<String, (Micros, Option<u64>)>,
+    sibling_view: BTreeMap<String, SiblingView>,
     /// Highest term that anybody has shown us; below it we never lead, whatever an old copy says.
     highest: u64,
 }
@@ -332,10 +343,20 @@
                     }
                     _ => self.refuse(conn, 503, "not leading"),
                 },
-                _ => self.refuse(conn, 404, "no such path"),
+                _ => match path.strip_prefix(HANDED_ON) {
+                    Some(path) => self.on_user(clock, conn, method, path, body),
+                    None => self.refuse(conn, 404, "no such path"),
+                },
             }
             return;
         }
+        if self.hand_on(clock, conn, method, path, body) {
+            return;
+        }
+        self.on_user(clock, conn, method, path, body);
+    }
+
+    fn on_user(&mut self, clock: Clock, conn: u64, method: &str, path: &str, body: &[u8]) {
         let path = path.split('?').next().unwrap_or("");
         let job = path.strip_prefix("/submissions/");
         match (method, path, job) {
@@ -395,6 +416,7 @@
         }
         match self.calls.remove(&id) {
             Some(CallTag::Heartbeat(i, sent)) => self.on_heartbeat_answer(clock, i, sent, outcome),
+            Some(CallTag::User(conn)) => self.on_handed_on(conn, outcome),
             Some(CallTag::Relay(conn, report)) => self.on_relay(clock, conn, *report, outcome),
             Some(tag) => self.leader_answer(clock, tag, outcome),
             None => {}
@@ -753,6 +775,7 @@
                 .as_ref()
                 .map(|(_, t)| clock.now.since(*t).0 / 1000),
             newest: self.mirror.synced.then_some(self.mirror.newest),
+            served: self.served(),
         }
     }
 
@@ -795,8 +818,12 @@
         if h.leading.is_some() {
             self.leader_heard = Some((h.node.clone(), clock.now));
         }
-        self.sibling_view
-            .insert(h.node, (clock.now, h.leader_silent_ms));
+        let view = SiblingView {
+            heard: clock.now,
+            leader_silent_ms: h.leader_silent_ms,
+            served: h.served,
+        };
+        self.sibling_view.insert(h.node, view);
     }
 
     /// Whether everybody who can be asked has lost sight of the leader. A takeover while it
@@ -813,10 +840,13 @@
         let mut others = self
             .sibling_view
             .iter()
-            .filter(|(n, (t, _))| *n != leader && clock.now.since(*t) < LEADER_SILENT)
+            .filter(|(n, v)| *n != leader && clock.now.since(v.heard) < LEADER_SILENT)
             .peekable();
         others.peek().is_some()
-            && others.all(|(_, (_, silent))| silent.is_none_or(|ms| ms * 1000 >= LEADER_SILENT.0))
+            && others.all(|(_, v)| {
+                let silent = v.leader_silent_ms;
+                silent.is_none_or(|ms| ms * 1000 >= LEADER_SILENT.0)
+            })
     }
 
     /// How long nothing has been heard from the controller that leads, in whatever role; none:
@@ -824,7 +854,32 @@
     pub fn leader_unheard(&self, clock: Clock, leader: &str) -> Option<Micros> {
         self.sibling_view
             .get(leader)
-            .map(|(t, _)| clock.now.since(*t))
+            .map(|v| clock.now.since(v.heard))
+    }
+
+    /// We have read the records, and the state service serves us.
+    pub fn served(&self) -> bool {
+        self.mirror.synced && !self.store.silent()
+    }
+
+    /// The address of a sibling that the state service serves while it does not serve us; the
+    /// leader first.
+    pub fn better_placed(&self, clock: Clock) -> Option<std::net::SocketAddr> {
+        if self.served() {
+            return None;
+        }
+        let leader = self.mirror.lead.as_ref().map(|(l, _)| l.node.as_str());
+        let mut found = None;
+        for s in &self.settings.siblings {
+            let fit = self
+                .sibling_view
+                .get(&s.node)
+                .is_some_and(|v| v.served && clock.now.since(v.heard) < LEADER_SILENT);
+            if fit && (found.is_none() || leader == Some(s.node.as_str())) {
+                found = Some(s.address);
+            }
+        }
+        found
     }
 
     /// The leader on record is an earlier run of our own process.
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -14,6 +14,8 @@
     /// Revision of the newest cancellation or change of the lead that the sender knows of; none
     /// before it has read the records, since its earlier run may have known of a newer one.
     pub newest: Option<u64>,
+    /// The sender has read the records, and the state service serves it.
+    pub served: bool,
 }
 
 impl Heartbeat {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -479,6 +479,35 @@
     assert_eq!((last.2, last.3.as_str()), (200, "done"));
 }
 
+#[test]
+fn users_of_a_controller_that_the_store_refuses_are_served_by_another() {
+    let mut w = settled(36, 2);
+    w.user("req-1", job(Kind::Service, 1, 1.0), 0);
+    w.run(10);
+    let f = (0..3).find(|i| Some(*i) != w.leader()).unwrap();
+    w.store.refuses.push(f);
+    w.run(3);
+    let from = w.said.len();
+    w.declare("req-2", job(Kind::Array, 1, 1.0), 2 * SEC);
+    w.submit_once(f, "req-2");
+    w.poll(f, "req-1");
+    w.poll(f, "req-99");
+    w.cancel(f, "req-1");
+    w.run(1);
+    let mut said: Vec<(u16, &str)> = w.said[from..].iter().map(|s| (s.2, s.3.as_str())).collect();
+    said.sort_unstable();
+    assert_eq!(
+        said.iter().map(|s| s.0).collect::<Vec<_>>(),
+        [200, 200, 201, 404],
+        "{said:?}"
+    );
+    w.run(40);
+    assert!(w.on("req-1/0").is_empty());
+    w.poll(f, "req-2");
+    w.run(1);
+    assert_eq!(w.told("req-2"), "done");
+}
+
 #[test]
 fn while_the_store_is_silent_polls_are_refused_at_once_and_ends_are_still_told() {
     let mut w = settled(17, 2);
