Guarantees in force: other teams' surplus gives way to work within a guarantee

Arrays that other teams run beyond their guarantees stop at once for a blocked job within its own; gangs beyond them only when that job has waited a minute, longer than a machine usually boots.

--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -10,10 +10,13 @@
 use crate::protocol::records::{CHUNK, Entry};
 use crate::protocol::wire::{Phase, Why};
 use crate::protocol::{Kind, Micros, Settings};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Room made for a job is kept for it this long; stops take a save and a report or two.
 const RESERVED: Micros = Micros::millis(20_000);
+/// Work within a guarantee that has waited this long, longer than machines usually take to boot, is
+/// given room at the cost of other teams' surplus gangs, too.
+const OVERDUE: Micros = Micros::millis(60_000);
 /// A stop that was wanted this long ago is decided on anew.
 const FORGIVE: Micros = Micros::millis(60_000);
 /// Most places of one pass.
@@ -107,8 +110,10 @@
         room: &mut Room,
         victims: &mut Vec<Victim<'a>>,
         found: &mut Findings,
-        now: Micros,
+        guaranteed: bool,
+        clock: Clock,
     ) -> Option<Item<'a>> {
+        let now = clock.now;
         let spec = &job.rec.spec;
         let shape = Shape::of(spec, names);
         let in_flight = self.edits.in_flight(id);
@@ -180,6 +185,9 @@
                             backfilled: e.backfilled(),
                             priority: spec.priority,
                             saves: single && spec.checkpoint_s > 0.0,
+                            team: &spec.team,
+                            surplus: !guaranteed,
+                            single: spec.kind == Kind::Array,
                         });
                     }
                     host.zone
@@ -247,6 +255,8 @@
             tasks,
             present,
             estimate_s: spec.estimate_s,
+            guaranteed,
+            overdue: clock.wall.since(job.rec.at) > OVERDUE,
         })
     }
 
@@ -292,6 +302,7 @@
         let mut victims: Vec<Victim<'_>> = Vec::new();
         let mut items: Vec<(Micros, Item<'_>)> = Vec::new();
         let mut found = Findings::default();
+        let within = guaranteed(&self.settings, &self.mirror);
         for (id, job) in &self.mirror.jobs {
             let item = l.survey(
                 id,
@@ -301,7 +312,8 @@
                 &mut room,
                 &mut victims,
                 &mut found,
-                now,
+                within.contains(id.as_str()),
+                clock,
             );
             items.extend(item.map(|i| (job.rec.at, i)));
         }
@@ -391,6 +403,37 @@
     }
 }
 
+/// Jobs that fit into their team's guarantee together with the team's earlier unfinished ones.
+fn guaranteed<'a>(s: &Settings, mirror: &'a Mirror) -> HashSet<&'a str> {
+    let mut left: HashMap<&str, [f64; 2]> = HashMap::new();
+    for t in &s.params.teams {
+        if t.cpus > 0.0 || t.gpus > 0.0 {
+            let amount = |v: f64| if v > 0.0 { v } else { f64::INFINITY };
+            left.insert(&t.name, [amount(t.cpus), amount(t.gpus)]);
+        }
+    }
+    let mut within = HashSet::new();
+    if left.is_empty() {
+        return within;
+    }
+    let active = mirror.jobs.iter().filter(|(_, j)| j.active());
+    let mut jobs: Vec<(&String, &Job)> = active.collect();
+    jobs.sort_by_key(|(id, j)| (j.rec.at, *id));
+    for (id, job) in jobs {
+        let spec = &job.rec.spec;
+        let Some(left) = left.get_mut(spec.team.as_str()) else {
+            continue;
+        };
+        let n = (spec.tasks as u64).saturating_sub(job.done_count()) as f64;
+        left[0] -= spec.cpus * n;
+        left[1] -= spec.gpus * n;
+        if left.iter().all(|l| *l >= -1e-6) {
+            within.insert(id.as_str());
+        }
+    }
+    within
+}
+
 /// Turns places into wanted records.
 fn record(l: &mut Leader, mirror: &Mirror, hosts: &Hosts, places: Vec<queue::Place>, now: Micros) {
     for p in places {
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -19,6 +19,10 @@
     pub present: Vec<(u32, Option<usize>)>,
     /// Estimated run time, corrected by what was observed.
     pub estimate_s: f64,
+    /// Fits its team's guarantee together with the team's earlier unfinished jobs.
+    pub guaranteed: bool,
+    /// Has waited so long that even gangs beyond another team's guarantee give way.
+    pub overdue: bool,
 }
 
 /// A running task that may have to make room.
@@ -40,6 +44,12 @@
     pub priority: Priority,
     /// It can save when it is stopped, so little is lost.
     pub saves: bool,
+    /// Its team.
+    pub team: &'a str,
+    /// Runs beyond its team's guarantee.
+    pub surplus: bool,
+    /// Stops alone.
+    pub single: bool,
 }
 
 /// A team's room: what it may still take.
@@ -147,9 +157,9 @@
             shape: lacking(item),
             tasks: short,
         });
-        if item.spec.kind != Kind::Array && plan.places.len() == before && tries > 0 {
-            tries -= 1;
-            make_way(item, hosts, victims, !blocked, &mut plan);
+        let presses = item.spec.kind != Kind::Array || item.guaranteed;
+        if presses && plan.places.len() == before && tries > 0 {
+            tries -= usize::from(make_way(item, hosts, victims, !blocked, &mut plan));
         }
         blocked |= item.spec.kind != Kind::Service;
     }
@@ -166,9 +176,8 @@
                 shape: lacking(item),
                 tasks: short,
             });
-            if item.spec.kind == Kind::Gang && tries > 0 {
-                tries -= 1;
-                make_way(item, hosts, victims, false, &mut plan);
+            if (item.spec.kind == Kind::Gang || item.guaranteed) && tries > 0 {
+                tries -= usize::from(make_way(item, hosts, victims, false, &mut plan));
             }
         }
     }
@@ -232,23 +241,36 @@
 }
 
 /// If a blocked job fits once others are gone, stops those on its room, latest first: what was
-/// backfilled, for the job at the top; and what has a lower priority, if it can save or makes
-/// room for replicas. The machines are kept for the job until it has started.
-fn make_way(item: &Item<'_>, hosts: &[Host], victims: &[Victim<'_>], top: bool, plan: &mut Plan) {
+/// backfilled, for the job at the top; what has a lower priority, if it can save or makes room for
+/// replicas; and what other teams run beyond their guarantees, for a job within its own. The
+/// machines are kept for the job until it has started. Tells whether there was anything to weigh.
+fn make_way(
+    item: &Item<'_>,
+    hosts: &[Host],
+    victims: &[Victim<'_>],
+    top: bool,
+    plan: &mut Plan,
+) -> bool {
     let kept = |h: &Host| h.reserved.as_deref() == Some(item.id);
     if hosts.iter().any(kept) {
-        return;
+        return false;
     }
     let service = item.spec.kind == Kind::Service;
+    let gang = item.spec.kind == Kind::Gang;
+    let array = item.spec.kind == Kind::Array;
     let may = |v: &&Victim<'_>| {
-        let lower = v.priority < item.spec.priority && (v.saves || service);
+        let lower = v.priority < item.spec.priority && (v.saves || service) && !array;
+        // A guarantee is given back by whoever runs beyond their own: at once by single tasks that
+        // lose little; by gangs, which stop as a whole, when nothing else has helped.
+        let surplus = v.surplus && v.team != item.spec.team && (v.single || item.overdue);
+        let owed = item.guaranteed && surplus;
         hosts[v.host].reserved.is_none()
             && plan.reserved.iter().all(|(h, _)| *h != v.host)
-            && ((top && !service && v.backfilled) || lower)
+            && ((top && gang && v.backfilled) || lower || owed)
     };
     let victims: Vec<&Victim<'_>> = victims.iter().filter(may).collect();
     if victims.is_empty() {
-        return;
+        return false;
     }
     let mut without: Vec<Host> = hosts.to_vec();
     for (h, _) in &plan.reserved {
@@ -258,7 +280,7 @@
         without[v.host].give(&v.need);
     }
     let need = item.shape.need;
-    let n = if service { 1 } else { item.tasks.len() as u32 };
+    let n = if gang { item.tasks.len() as u32 } else { 1 };
     // For one task the fullest machine serves, so that as few as possible have to go.
     let found = if n == 1 {
         let present = &item.present;
@@ -284,7 +306,7 @@
         placement::gang(&without, item.id, item.spec, &item.shape, n, 1.0)
     };
     let Some(found) = found else {
-        return;
+        return true;
     };
     let mut by_host: BTreeMap<usize, u32> = BTreeMap::new();
     for h in found {
@@ -294,6 +316,8 @@
         let mut free = hosts[h].free;
         let mut here: Vec<&&Victim<'_>> = victims.iter().filter(|v| v.host == h).collect();
         here.sort_by_key(|v| std::cmp::Reverse(v.order));
+        // An array takes as much of its machine as it can use.
+        let n = if array { item.tasks.len() as u32 } else { n };
         for v in here {
             if slots(&free, &need) >= n {
                 break;
@@ -305,4 +329,5 @@
         }
         plan.reserved.push((h, item.id.to_string()));
     }
+    true
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -407,6 +407,36 @@
     assert!(w.deleted.contains("n-000001"));
 }
 
+#[test]
+fn a_team_gets_its_guarantee_back_from_whoever_runs_beyond_theirs() {
+    let mut w = settled(37, 2);
+    // Team green has 8 GPUs guaranteed, blue none; nothing more can be rented.
+    w.no_capacity = true;
+    w.user("req-1", job(Kind::Array, 16, 1.0), 300 * SEC);
+    w.run(10);
+    assert_eq!(w.starts.len(), 16, "blue borrows all there is");
+    let green = |kind, tasks, gpus| {
+        let mut j = job(kind, tasks, gpus);
+        j.team = "green".into();
+        j
+    };
+    w.user("req-2", green(Kind::Gang, 1, 6.0), 300 * SEC);
+    w.user("req-3", green(Kind::Array, 2, 1.0), 300 * SEC);
+    w.user("req-4", green(Kind::Array, 2, 1.0), 300 * SEC);
+    w.run(40);
+    let running = |w: &World, id: &str, n| {
+        (0..n)
+            .filter(|t| w.on(&format!("{id}/{t}")).len() == 1)
+            .count()
+    };
+    assert_eq!((running(&w, "req-2", 1), running(&w, "req-3", 2)), (1, 2));
+    assert_eq!(
+        running(&w, "req-4", 2),
+        0,
+        "beyond the guarantee it waits like others"
+    );
+}
+
 #[test]
 fn a_gang_is_not_tried_again_on_the_machine_that_failed_it() {
     let mut w = settled(34, 3);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -104,6 +104,8 @@
     cuts: Vec<(Party, Party, Cut, u64)>,
     pub lose_answers: Vec<(Party, u64)>,
     write_rps: f64,
+    /// The cloud has no machine to rent.
+    pub no_capacity: bool,
     /// Jobs submitted with a mistake: their tasks fail on every machine.
     pub broken_jobs: BTreeSet<String>,
     pub delay_orders: Option<u64>,
@@ -146,6 +148,9 @@
 gpus_max=12.0
 [[params.teams]]
 name="blue"
+[[params.teams]]
+name="green"
+gpus=8.0
 [params.workers]
 report_s=2.0
 lease_s={LEASE_S}.0
@@ -204,6 +209,7 @@
     pub fn with_budget(seed: u64, nodes: usize, machines: usize, write_rps: f64) -> World {
         let mut w = World {
             write_rps,
+            no_capacity: false,
             broken_jobs: BTreeSet::new(),
             now: SEC,
             queue: BinaryHeap::new(),
@@ -1148,7 +1154,7 @@
                     return (200, encode(&MachineNames { machines }));
                 }
                 let room = 12usize.saturating_sub(self.workers.len() + self.booting.len());
-                if room == 0 {
+                if room == 0 || self.no_capacity {
                     return (503, Vec::new());
                 }
                 let mut names = Vec::new();
