A story at 300 machines counts what reports, ends and a takeover cost

Counts, not times: no calls for reports without news, fewer than three changes a job, one call a machine at a takeover.

--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use walnuttrestle::protocol::Kind;
 use walnuttrestle::protocol::wire::Phase;
-use world::{Cut, LEASE_S, Party, SEC, World, job};
+use world::{Costs, Cut, LEASE_S, Party, SEC, World, job};
 
 /// `LOG_LEVEL=debug cargo test -- --nocapture NAME` shows what the controllers log.
 fn settled(seed: u64, machines: usize) -> World {
@@ -407,6 +407,68 @@
     assert!(w.deleted.contains("n-000001"));
 }
 
+#[test]
+fn three_hundred_machines_cost_what_happens_on_them() {
+    let mut w = World::new(38, 3, 300);
+    w.run(12);
+    w.costs = Costs::default();
+    for n in 0..40 {
+        w.user(&format!("req-{n}"), job(Kind::Array, 15, 1.0), 6 * SEC);
+    }
+    for n in 100..140 {
+        w.user(&format!("req-{n}"), job(Kind::Service, 3, 1.0), 0);
+    }
+    for n in 200..210 {
+        w.user(&format!("req-{n}"), job(Kind::Gang, 16, 8.0), 6 * SEC);
+    }
+    w.run(40);
+    assert!(
+        (0..40)
+            .chain(200..210)
+            .all(|n| w.job_done(&format!("req-{n}")))
+    );
+    let tasks = 40 * 15 + 40 * 3 + 10 * 16;
+    assert_eq!(w.starts.values().sum::<u32>(), tasks);
+    // Accepted, placed, done: a change each at most. Without merging the ends it is 274.
+    assert!(w.costs.changes < 260, "{:?}", w.costs);
+    // A start needs a call; one call carries all that is due on a machine.
+    assert!(w.costs.orders < tasks as usize + 300, "{:?}", w.costs);
+
+    // Nothing happens: 150 reports a second cost neither the store nor the workers a call. What is
+    // left are the users' polls, which share barriers, and the leader's signs of life.
+    w.run(10);
+    w.costs = Costs::default();
+    w.run(20);
+    assert_eq!(w.costs.orders, 0, "{:?}", w.costs);
+    assert!(
+        w.costs.changes < 5 && w.costs.requests < 500,
+        "{:?}",
+        w.costs
+    );
+    assert!(
+        (0..3).all(|i| w.held(i) == 40),
+        "jobs that are over are not carried along"
+    );
+
+    // A takeover reads the records once, and tells each worker the new term at most once.
+    let l = w.leader().unwrap();
+    w.costs = Costs::default();
+    w.crash(l, 4 * SEC);
+    w.run(15);
+    assert!(w.leader().is_some_and(|x| x != l));
+    assert!(w.costs.orders <= 300, "{:?}", w.costs);
+    assert!(
+        w.costs.requests < 400 && w.costs.changes < 20,
+        "{:?}",
+        w.costs
+    );
+    assert_eq!(
+        w.starts.values().sum::<u32>(),
+        tasks,
+        "nothing starts twice"
+    );
+}
+
 #[test]
 fn a_team_gets_its_guarantee_back_from_whoever_runs_beyond_theirs() {
     let mut w = settled(37, 2);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -84,6 +84,14 @@
     Peer(usize, u64, u64),
 }
 
+/// Calls made by controllers.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Costs {
+    pub requests: usize,
+    pub changes: usize,
+    pub orders: usize,
+}
+
 pub struct World {
     pub now: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
@@ -104,6 +112,8 @@
     cuts: Vec<(Party, Party, Cut, u64)>,
     pub lose_answers: Vec<(Party, u64)>,
     write_rps: f64,
+    /// What the controllers have asked of others since this was last reset.
+    pub costs: Costs,
     /// The cloud has no machine to rent.
     pub no_capacity: bool,
     /// Jobs submitted with a mistake: their tasks fail on every machine.
@@ -209,6 +219,7 @@
     pub fn with_budget(seed: u64, nodes: usize, machines: usize, write_rps: f64) -> World {
         let mut w = World {
             write_rps,
+            costs: Costs::default(),
             no_capacity: false,
             broken_jobs: BTreeSet::new(),
             now: SEC,
@@ -350,11 +361,9 @@
         {
             Party::Node(n.parse::<usize>().unwrap() - 1)
         } else {
-            let index: usize = text
-                .strip_prefix("10.1.0.")
-                .and_then(|r| r.split(':').next())
-                .and_then(|n| n.parse().ok())
-                .unwrap();
+            let rest = text.strip_prefix("10.1.").and_then(|r| r.split(':').next());
+            let (high, low) = rest.and_then(|r| r.split_once('.')).unwrap();
+            let index = high.parse::<usize>().unwrap() * 200 + low.parse::<usize>().unwrap();
             Party::Worker(format!("n-{index:06}"))
         }
     }
@@ -382,8 +391,23 @@
         }
     }
 
+    /// Counts what the controllers ask of others, by what it costs there.
+    fn count(&mut self, to: &Party, call: &Call) {
+        match to {
+            Party::Store => {
+                self.costs.requests += 1;
+                if let Some(t) = decode::<Txn>(&call.body).filter(|_| call.path == "/multi") {
+                    self.costs.changes += t.changes.len();
+                }
+            }
+            Party::Worker(_) => self.costs.orders += 1,
+            _ => {}
+        }
+    }
+
     fn send(&mut self, i: usize, run: u64, call: Call) {
         let to = self.party(&call);
+        self.count(&to, &call);
         let key = (i, run, call.id);
         self.open.insert(key, ());
         self.schedule(self.now + call.timeout.0, Ev::Timeout(i, run, call.id));
@@ -1206,6 +1230,12 @@
         self.jobs[id].told_done.is_some()
     }
 
+    /// Jobs that a node holds as not yet over.
+    pub fn held(&self, i: usize) -> usize {
+        let node = self.nodes[i].node.as_ref();
+        node.map_or(0, |n| n.mirror.jobs.len())
+    }
+
     pub fn nodes(&self) -> usize {
         self.nodes.len()
     }
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -59,7 +59,7 @@
         self.seq += 1;
         Report {
             machine: self.name.clone(),
-            address: format!("10.1.0.{}:9000", self.index),
+            address: format!("10.1.{}.{}:9000", self.index / 200, self.index % 200),
             kind: "box".into(),
             zone: self.zone.clone(),
             spot: self.spot,
