--- a/src/coordination/renewal.rs
+++ b/src/coordination/renewal.rs
@@ -48,6 +48,9 @@
 const HOLD_BOUNCED: Micros = Micros::millis(30_000);
 /// How long the leader may take; the worker waits 4 s in all.
 const RELAY_TIMEOUT: Micros = Micros::millis(1_500);
+/// Workers that come one after the other share a record: each write names all machines, and at a
+/// takeover hundreds come within a second or two.
+const WRITE_GAP: Micros = Micros::millis(200);
 /// The record is written anew at this pace, as a sign of life for the leader.
 pub const SIGN_OF_LIFE: Micros = Micros::millis(10_000);
 
@@ -206,7 +209,7 @@
 
     fn write_renewals(&mut self, clock: Clock) {
         let r = &mut self.renewals;
-        if r.flying {
+        if r.flying || clock.now < r.written + WRITE_GAP {
             return;
         }
         r.flying = true;
@@ -330,9 +333,10 @@
             r.recorded.retain(|m| left.contains(m));
         }
         let sign = r.written + SIGN_OF_LIFE;
-        if r.machines.len() != before || sign <= clock.now {
+        let named = r.machines.len() != before || !r.waiting.is_empty();
+        if named || r.machines.len() != r.recorded.len() || sign <= clock.now {
             self.write_renewals(clock);
-            return Micros::FAR;
+            return self.renewals.written + WRITE_GAP;
         }
         let out = r.machines.values().map(|t| *t + lease).min();
         out.unwrap_or(Micros::FAR).min(sign)
