--- a/src/transport/net.rs
+++ b/src/transport/net.rs
@@ -28,6 +28,9 @@
 const CLIENT_IDLE: Micros = Micros::millis(20_000);
 /// Share of the socket limit that clients of ours may take; the rest is for our own calls.
 const SERVER_SHARE: f64 = 0.75;
+/// Sockets that connections kept for later calls leave free. With hundreds of workers they would
+/// fill the table, and the state service or a sibling could not be called when it matters.
+const SPARE: usize = 32;
 
 enum Role {
     Server {
@@ -111,6 +114,7 @@
     next_serial: u64,
     servers: usize,
     most_servers: usize,
+    most: usize,
     started: Instant,
     out: Vec<NetEvent>,
 }
@@ -145,6 +149,7 @@
             next_serial: 1,
             servers: 0,
             most_servers: (sockets as f64 * SERVER_SHARE) as usize,
+            most: sockets.saturating_sub(SPARE).max(1),
             started,
             out: Vec::new(),
         };
@@ -251,16 +256,20 @@
     }
 
     fn drop_one_idle(&mut self) -> bool {
-        let idle =
-            self.due
-                .iter()
-                .map(|(_, t)| *t)
-                .find(|t| match self.conns.get(t).map(|c| &c.role) {
-                    Some(Role::Server { busy, .. }) => !busy,
-                    Some(Role::Client { call, .. }) => call.is_none(),
-                    None => false,
-                });
-        idle.map(|t| self.close(t, Outcome::Lost)).is_some()
+        self.drop_first(|role| match role {
+            Role::Server { busy, .. } => !busy,
+            Role::Client { call, .. } => call.is_none(),
+        })
+    }
+
+    /// Closes the connection of those meant that is due first; tells whether there was one.
+    fn drop_first(&mut self, meant: impl Fn(&Role) -> bool) -> bool {
+        let found = self
+            .due
+            .iter()
+            .map(|(_, t)| *t)
+            .find(|t| self.conns.get(t).is_some_and(|c| meant(&c.role)));
+        found.map(|t| self.close(t, Outcome::Lost)).is_some()
     }
 
     fn add(
@@ -397,6 +406,9 @@
         let token = match self.idle.get_mut(&call.addr).and_then(Vec::pop) {
             Some(t) => t,
             None => {
+                if self.conns.len() >= self.most {
+                    self.drop_first(|role| matches!(role, Role::Client { call: None, .. }));
+                }
                 let stream = match TcpStream::connect(call.addr) {
                     Ok(s) => s,
                     Err(e) => {
