--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -1,25 +1,37 @@
 //! A copy of our records in the state service, fed by listings, watches and own commits.
 
 use crate::protocol::records::{
-    BASE, CHUNK, CHUNKS, Chunk, Entry, JOBS, JobRec, LEAD, LIVE, LeadRec, RENEWALS, RenewRec,
-    Stage, TYPES,
+    BASE, CHUNK, CHUNKS, Chunk, Entry, FORMATS, JOBS, JobRec, LEAD, LIVE, LeadRec, RENEWALS,
+    RenewRec, Stage, TYPES, renew_key,
 };
 use crate::protocol::wire::{ItemPage, MachineType, MachineTypes, WatchAnswer, from_value};
+use crate::protocol::{Kind, Micros, format};
 use rmpv::Value;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A job that is not over, or whose tasks may still be somewhere.
 #[derive(Debug, Clone)]
 pub struct Job {
-    /// Its record.
+    /// Its record. A job that needs a cancelled one is cancelled by that fact: its stage says so here,
+    /// whether or not anybody ever writes it.
     pub rec: JobRec,
     /// The record's version.
     pub version: u64,
     /// Further chunks of large jobs with their versions.
     pub chunks: BTreeMap<u32, (Chunk, u64)>,
+    /// How many of the jobs that it needs are not recorded as done.
+    pub unmet: usize,
+    /// Time of day from which its aims count: when the last job that it needs was done, or when it
+    /// was accepted. Without meaning while it waits for others.
+    pub released: Micros,
 }
 
 impl Job {
+    /// Waits for other jobs: nothing of it may start.
+    pub fn waits(&self) -> bool {
+        self.unmet > 0
+    }
+
     /// The chunk that holds a task.
     pub fn chunk_of(&self, task: u32) -> Option<&Chunk> {
         match task / CHUNK {
@@ -68,6 +80,10 @@
     pub tasks: u32,
     /// Version of its record.
     pub version: u64,
+    /// Time of day of the end.
+    pub end: Micros,
+    /// It was a service.
+    pub service: bool,
 }
 
 /// What is known of a job.
@@ -98,6 +114,10 @@
     /// What followers renew, by node, with the record's version.
     pub renewals: BTreeMap<String, (RenewRec, u64)>,
     over: BTreeMap<String, Final>,
+    /// Jobs that wait for a job, by the job they wait for, which need not be in the copy yet.
+    dependents: BTreeMap<String, Vec<String>>,
+    /// Newest format that each controller reads, with the version of that record.
+    formats: BTreeMap<String, (u32, u64)>,
     orphans: BTreeMap<String, BTreeMap<u32, (Chunk, u64)>>,
     /// Keys met during a rereading, to find those deleted meanwhile.
     met: Option<(BTreeSet<String>, u64)>,
@@ -120,6 +140,36 @@
         self.jobs.get(id).map(Known::Live)
     }
 
+    /// Live jobs that wait for this one directly.
+    pub fn dependents(&self, id: &str) -> impl Iterator<Item = (&str, &Job)> {
+        let names = self.dependents.get(id).into_iter().flatten();
+        names.filter_map(|d| {
+            let job = self.jobs.get(d).filter(|j| j.active())?;
+            Some((d.as_str(), job))
+        })
+    }
+
+    /// Whether any job waits for others.
+    pub fn any_wait(&self) -> bool {
+        !self.dependents.is_empty()
+    }
+
+    /// The newest format that a controller reads, with the version of the record that says so (0:
+    /// none, it is of the first version).
+    pub fn format_of(&self, node: &str) -> (u32, u64) {
+        *self.formats.get(node).unwrap_or(&(format::FIRST, 0))
+    }
+
+    /// The parts of a follower's record of renewals with their versions; part 0 is always there.
+    pub fn renewals_of(&self, node: &str) -> Vec<Option<&(RenewRec, u64)>> {
+        let part = |n: usize| {
+            let key = renew_key(node, n);
+            self.renewals.get(key.trim_start_matches(RENEWALS))
+        };
+        let more = (1..).map(part).take_while(Option::is_some);
+        [part(0)].into_iter().chain(more).collect()
+    }
+
     /// Jobs whose records have changed since the last call.
     pub fn take_changed(&mut self) -> BTreeSet<String> {
         std::mem::take(&mut self.changed)
@@ -194,6 +244,7 @@
                 .keys()
                 .map(|id| format!("{JOBS}{id}"))
                 .chain(self.renewals.keys().map(|n| format!("{RENEWALS}{n}")))
+                .chain(self.formats.keys().map(|n| format!("{FORMATS}{n}")))
                 .chain([LEAD.to_string(), LIVE.to_string()])
                 .filter(|k| !met.contains(k))
                 .collect();
@@ -231,6 +282,12 @@
                 self.renewals.insert(node.to_string(), (rec, version));
                 self.renewals_changed += 1;
             }
+        } else if let Some(node) = key.strip_prefix(FORMATS) {
+            if self.format_of(node).1 < version
+                && let Some(n) = from_value::<u32>(&value)
+            {
+                self.formats.insert(node.to_string(), (n, version));
+            }
         } else if let Some(id) = key.strip_prefix(JOBS) {
             if self.newest(id) >= version {
                 // Our own commit, come back by the watch: not worth reading.
@@ -267,6 +324,14 @@
             self.newest = self.newest.max(version);
         }
         self.changed.insert(id.to_string());
+        if self.newest(id) == 0 && rec.stage == Stage::Active {
+            for need in &rec.spec.needs {
+                if self.end_of(need).is_none() {
+                    let waiting = self.dependents.entry(need.clone()).or_default();
+                    waiting.push(id.to_string());
+                }
+            }
+        }
         let (old, mut chunks) = match self.jobs.remove(id) {
             Some(j) => (j.rec.first.entries, j.chunks),
             None => (Vec::new(), BTreeMap::new()),
@@ -279,6 +344,8 @@
             rec,
             version,
             chunks,
+            unmet: 0,
+            released: Micros::ZERO,
         };
         self.keep(id, job);
     }
@@ -304,23 +371,82 @@
         }
     }
 
-    fn keep(&mut self, id: &str, job: Job) {
+    /// Keeps a job as what it is now, and tells the jobs that wait for it if it is over, those that
+    /// wait for them, and so on. An end is final, so none of it is ever taken back.
+    fn keep(&mut self, id: &str, mut job: Job) {
+        self.weigh_needs(&mut job);
+        let mut ended: Vec<String> = Vec::new();
+        if self.sort_in(id, job) {
+            ended.push(id.to_string());
+        }
+        while let Some(need) = ended.pop() {
+            for d in self.dependents.remove(&need).into_iter().flatten() {
+                let Some(mut job) = self.jobs.remove(&d) else {
+                    continue;
+                };
+                self.weigh_needs(&mut job);
+                self.changed.insert(d.clone());
+                if self.sort_in(&d, job) {
+                    ended.push(d);
+                }
+            }
+        }
+    }
+
+    /// What follows for a job from the jobs that it needs.
+    fn weigh_needs(&self, job: &mut Job) {
+        job.released = job.rec.at;
+        job.unmet = 0;
+        if !job.active() {
+            return;
+        }
+        for need in &job.rec.spec.needs {
+            match self.end_of(need) {
+                Some((Stage::Done, end)) => job.released = job.released.max(end),
+                Some((_, end)) => {
+                    // Nothing that needs a job starts before that job is done, and one that is
+                    // cancelled never will be: this job has no task anywhere and never gets one.
+                    job.rec.stage = Stage::Cancelled;
+                    job.rec.end = end.max(job.rec.at);
+                    return;
+                }
+                None => job.unmet += 1,
+            }
+        }
+    }
+
+    /// How and when a job has ended.
+    fn end_of(&self, id: &str) -> Option<(Stage, Micros)> {
+        if let Some(f) = self.over.get(id) {
+            return Some((f.stage, f.end));
+        }
+        let job = self.jobs.get(id).filter(|j| !j.active())?;
+        Some((job.rec.stage, job.rec.end))
+    }
+
+    /// Puts a job among the live ones or those that are over; tells whether it has ended.
+    fn sort_in(&mut self, id: &str, job: Job) -> bool {
+        let ended = !job.active();
         // A job that is over stays among the live ones while tasks of it may be somewhere.
-        if !job.active() && job.entries().all(|e| e.machine().is_none()) {
+        if ended && job.entries().all(|e| e.machine().is_none()) {
             self.jobs.remove(id);
             let f = Final {
                 stage: job.rec.stage,
                 tasks: job.rec.spec.tasks,
                 version: job.version,
+                end: job.rec.end,
+                service: job.rec.spec.kind == Kind::Service,
             };
             self.over.insert(id.to_string(), f);
         } else {
             self.over.remove(id);
             self.jobs.insert(id.to_string(), job);
         }
+        ended
     }
 
-    fn delete(&mut self, key: &str, version: u64) {
+    /// Deletes one record, unless it is younger.
+    pub fn delete(&mut self, key: &str, version: u64) {
         if key == LIVE {
             self.live = self.live.filter(|v| *v > version);
         } else if key == LEAD {
@@ -330,6 +456,10 @@
                 self.renewals.remove(node);
                 self.renewals_changed += 1;
             }
+        } else if let Some(node) = key.strip_prefix(FORMATS) {
+            if self.format_of(node).1 < version {
+                self.formats.remove(node);
+            }
         } else if let Some(id) = key.strip_prefix(JOBS)
             && self.jobs.get(id).is_some_and(|j| j.version < version)
             && let Some(job) = self.jobs.remove(id)
--- a/src/bookkeeping/pace.rs
+++ b/src/bookkeeping/pace.rs
@@ -42,6 +42,13 @@
         self.level >= n.min(self.burst) - 1e-9
     }
 
+    /// The same for what cannot wait: it may go ahead by as much as the burst, and whatever comes
+    /// after it makes up for that.
+    pub fn ready_ahead(&mut self, now: Micros, n: f64) -> bool {
+        self.fill(now);
+        self.level + self.burst >= n.min(self.burst) - 1e-9
+    }
+
     /// Permits a second.
     pub fn rate(&self) -> f64 {
         self.rate
@@ -58,9 +65,9 @@
         self.level -= n;
     }
 
-    /// When `n` permits will be there.
-    pub fn when(&self, now: Micros, n: f64) -> Micros {
-        let lack = n.min(self.burst) - self.level;
+    /// When `n` permits will be there; `ahead`: as `ready_ahead` sees it.
+    pub fn when(&self, now: Micros, n: f64, ahead: bool) -> Micros {
+        let lack = n.min(self.burst) - self.level - if ahead { self.burst } else { 0.0 };
         if lack <= 0.0 {
             now
         } else {
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -3,7 +3,7 @@
 
 use super::pace::Pace;
 use crate::protocol::wire::{
-    ItemPage, LeaseAnswer, LeaseRequest, Txn, TxnAnswer, WatchAnswer, decode, encode,
+    Change, ItemPage, LeaseAnswer, LeaseRequest, Txn, TxnAnswer, WatchAnswer, decode, encode,
 };
 use crate::protocol::{Micros, records};
 use crate::transport::{Call, NetCmd, Outcome};
@@ -52,6 +52,9 @@
     LeaseGone,
     /// Certainly not carried out.
     Refused,
+    /// The same, and not for the moment: the state service takes no such transaction, perhaps because
+    /// its limits are lower than we think.
+    Rejected,
     /// No (sensible) answer: may have been, or still be, carried out.
     Lost,
 }
@@ -141,8 +144,8 @@
 
     /// When `n` changes can be sent at once.
     pub fn room_at(&self, now: Micros, n: usize) -> Micros {
-        let r = self.requests.when(now, 1.0);
-        r.max(self.writes.when(now, n as f64))
+        let r = self.requests.when(now, 1.0, false);
+        r.max(self.writes.when(now, n as f64, false))
     }
 
     /// Sends what the budgets allow.
@@ -162,7 +165,14 @@
                 if !self.requests.ready(now, 1.0) {
                     return;
                 }
-                if writes > 0.0 && !self.writes.ready(now, writes) {
+                // Leadership and cancellations do not wait for the budget that others have used up: a
+                // claim would outlive its lease, and nobody would ever lead.
+                let ready = if r == Rank::First as usize {
+                    self.writes.ready_ahead(now, writes)
+                } else {
+                    self.writes.ready(now, writes)
+                };
+                if writes > 0.0 && !ready {
                     continue;
                 }
                 self.requests.take(1.0);
@@ -185,11 +195,12 @@
     pub fn wake(&self, now: Micros) -> Option<Micros> {
         self.queues
             .iter()
-            .filter_map(|q| q.front())
-            .map(|q| {
-                let r = self.requests.when(now, 1.0);
+            .enumerate()
+            .filter_map(|(rank, q)| Some((rank == Rank::First as usize, q.front()?)))
+            .map(|(first, q)| {
+                let r = self.requests.when(now, 1.0, false);
                 match write_count(&q.ask) {
-                    w if w > 0.0 => r.max(self.writes.when(now, w)),
+                    w if w > 0.0 => r.max(self.writes.when(now, w, first)),
                     _ => r,
                 }
             })
@@ -281,9 +292,18 @@
         Outcome::Reply { status, body } => (*status, body),
     };
     let sensible = match (status, ask) {
-        (503 | 429 | 400, Ask::Txn(_)) if status == 400 => {
-            // Either malformed, which is a fault of ours, or a lease that has ended.
-            Some(Reply::LeaseGone)
+        (400, Ask::Txn(t)) => {
+            // Too large or malformed, or a lease that has ended.
+            let leased = |c: &Change| matches!(c, Change::Put { lease: Some(_), .. });
+            if t.changes.iter().any(leased) {
+                Some(Reply::LeaseGone)
+            } else {
+                log::warn!(
+                    "store: a transaction of {} changes is rejected",
+                    t.changes.len()
+                );
+                Some(Reply::Rejected)
+            }
         }
         (503 | 429, _) => Some(Reply::Refused),
         (200, Ask::Txn(_)) => decode::<TxnAnswer>(body).map(|a| Reply::Committed(a.revision)),
--- a/src/coordination/edits.rs
+++ b/src/coordination/edits.rs
@@ -9,7 +9,7 @@
 use crate::bookkeeping::mirror::Job;
 use crate::bookkeeping::store::{Ask, Rank, Reply};
 use crate::protocol::records::{CHUNK, Chunk, Entry, JobRec, LEAD, Stage, chunk_key, job_key};
-use crate::protocol::wire::{Change, Cond, Txn};
+use crate::protocol::wire::{Change, Cond, Txn, json_len};
 use crate::protocol::{Kind, Micros};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -53,6 +53,12 @@
 /// Transactions in flight at once.
 const BATCHES: usize = 3;
 
+impl Edit {
+    fn is_empty(&self) -> bool {
+        self.done.is_empty() && self.places.is_empty() && !self.clean
+    }
+}
+
 impl Edits {
     /// The change wanted of a job, to be added to.
     pub fn want(&mut self, id: &str, now: Micros) -> &mut Edit {
@@ -154,6 +160,11 @@
     /// Writes the changes that have been due longest, several jobs a transaction, at most `most`
     /// changes unless a single job needs more.
     pub fn write_edits(&mut self, clock: Clock, most: usize) {
+        let state = &self.settings.params.state;
+        let limits = Limits {
+            ops: state.least_txn_ops(),
+            bytes: state.least_value_bytes(),
+        };
         let Some(l) = &mut self.leader else { return };
         let mut ready: Vec<(Micros, String)> = Vec::new();
         for (id, e) in &l.edits.wanted {
@@ -175,14 +186,21 @@
             else {
                 continue;
             };
-            let (c, ch) = edited(&id, job, edit, clock);
-            if !changes.is_empty() && changes.len() + ch.len() > most {
+            let w = edited(&id, job, edit, clock, limits);
+            if !changes.is_empty() && changes.len() + w.changes.len() > most {
                 break;
             }
-            conds.extend(c);
-            changes.extend(ch);
-            let edit = l.edits.wanted.remove(&id).unwrap_or_default();
-            l.edits.flying.insert(id.clone(), edit.places);
+            if w.rest.is_empty() {
+                l.edits.wanted.remove(&id);
+            } else {
+                l.edits.wanted.insert(id.clone(), w.rest);
+            }
+            if w.changes.is_empty() {
+                continue;
+            }
+            conds.extend(w.conds);
+            changes.extend(w.changes);
+            l.edits.flying.insert(id.clone(), w.places);
             jobs.push(id);
             if changes.len() >= most {
                 break;
@@ -220,7 +238,7 @@
                 self.on_changed_jobs();
                 self.send_orders(clock);
             }
-            Reply::Refused => {
+            Reply::Refused | Reply::Rejected => {
                 // Certainly not written; it is all found out again.
                 self.end_batch(n);
             }
@@ -272,15 +290,37 @@
     }
 }
 
-/// A job's record with an edit applied: conditions and puts.
-fn edited(id: &str, job: &Job, edit: &Edit, clock: Clock) -> (Vec<Cond>, Vec<Change>) {
+/// What a transaction and a value may hold.
+#[derive(Debug, Clone, Copy)]
+struct Limits {
+    ops: usize,
+    bytes: usize,
+}
+
+/// What is written of an edit now, and what stays wanted.
+struct Written {
+    conds: Vec<Cond>,
+    changes: Vec<Change>,
+    places: Vec<Entry>,
+    rest: Edit,
+}
+
+/// A job's record with an edit applied, as far as one transaction can take it.
+fn edited(id: &str, job: &Job, edit: &Edit, clock: Clock, limits: Limits) -> Written {
     let mut rec: JobRec = job.rec.clone();
     let mut chunks: BTreeMap<u32, Chunk> = BTreeMap::new();
+    let mut rest = Edit {
+        since: edit.since,
+        ..Edit::default()
+    };
+    let mut places = Vec::new();
+    // One change is kept for the job's own record.
+    let most = limits.ops.saturating_sub(1).max(1);
     if edit.clean {
         // The job is over: what is left in further chunks no longer matters to anybody.
         rec.first.entries.clear();
         for (n, (c, _)) in &job.chunks {
-            if !c.entries.is_empty() {
+            if !c.entries.is_empty() && chunks.len() < most {
                 let c = Chunk {
                     entries: Vec::new(),
                     done: c.done,
@@ -290,33 +330,53 @@
         }
     }
     if job.active() {
-        let touched = edit
-            .done
-            .iter()
-            .copied()
-            .chain(edit.places.iter().map(Entry::task));
-        for task in touched {
-            let n = task / CHUNK;
-            if n > 0 {
-                chunks
-                    .entry(n)
-                    .or_insert_with(|| job.chunk_of(task).cloned().unwrap_or_default());
+        // A gang is placed as a whole, or its members would start without the others.
+        let whole = job.rec.spec.kind == Kind::Gang;
+        let open = |n: u32, chunks: &mut BTreeMap<u32, Chunk>| {
+            if n == 0 || chunks.contains_key(&n) {
+                return true;
             }
-        }
-        let of = |task: u32,
-                  rec: &mut JobRec,
-                  chunks: &mut BTreeMap<u32, Chunk>,
-                  f: &dyn Fn(&mut Chunk)| {
-            match chunks.get_mut(&(task / CHUNK)) {
-                Some(c) => f(c),
-                None => f(&mut rec.first),
+            if chunks.len() >= most && !whole {
+                return false;
             }
+            let old = job.chunk_of(n * CHUNK).cloned();
+            chunks.insert(n, old.unwrap_or_default());
+            true
         };
-        for e in &edit.places {
-            of(e.task(), &mut rec, &mut chunks, &|c| c.set(e.clone()));
-        }
         for task in &edit.done {
-            of(*task, &mut rec, &mut chunks, &|c| c.finish(*task));
+            if !open(task / CHUNK, &mut chunks) {
+                rest.done.insert(*task);
+                continue;
+            }
+            chunk(&mut rec, &mut chunks, *task).finish(*task);
+        }
+        for e in &edit.places {
+            if edit.done.contains(&e.task()) {
+                continue;
+            }
+            if !open(e.task() / CHUNK, &mut chunks) {
+                rest.places.push(e.clone());
+                continue;
+            }
+            let n = e.task() / CHUNK;
+            let at = chunk(&mut rec, &mut chunks, e.task());
+            let old = at.entry(e.task()).cloned();
+            at.set(e.clone());
+            // What makes a value too long is not placed: the next pass finds it again, when others
+            // of its chunk have ended perhaps.
+            let len = match chunks.get(&n) {
+                Some(c) => json_len(c),
+                None => json_len(&rec),
+            };
+            if len > limits.bytes && !whole {
+                let at = chunk(&mut rec, &mut chunks, e.task());
+                match old {
+                    Some(o) => at.set(o),
+                    None => at.entries.retain(|x| x.task() != e.task()),
+                }
+                continue;
+            }
+            places.push(e.clone());
         }
         let done = rec.first.done.count_ones()
             + job
@@ -335,13 +395,34 @@
     let (c, p) = put_job(id, job, &rec);
     let mut conds = vec![c];
     let mut changes = Vec::new();
-    if rec != job.rec || chunks.is_empty() {
+    if rec != job.rec {
         changes.push(p);
     }
     for (n, c) in chunks {
+        let held = job.chunks.get(&n);
+        if held.is_some_and(|(h, _)| *h == c) {
+            continue;
+        }
         let key = chunk_key(id, n);
-        conds.push(cond(&key, job.chunks.get(&n).map_or(0, |(_, v)| *v)));
+        conds.push(cond(&key, held.map_or(0, |(_, v)| *v)));
         changes.push(put(&key, &c, None));
     }
-    (conds, changes)
+    Written {
+        conds,
+        changes,
+        places,
+        rest,
+    }
+}
+
+/// The chunk of a task among those that are being written.
+fn chunk<'a>(
+    rec: &'a mut JobRec,
+    chunks: &'a mut BTreeMap<u32, Chunk>,
+    task: u32,
+) -> &'a mut Chunk {
+    match chunks.get_mut(&(task / CHUNK)) {
+        Some(c) => c,
+        None => &mut rec.first,
+    }
 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -200,7 +200,7 @@
         }
         let mut next = Micros::FAR;
         if !f.wanted.is_empty() {
-            next = next.min(pace.when(now, 1.0));
+            next = next.min(pace.when(now, 1.0, false));
         }
         if !f.listing {
             next = next.min(f.list_at);
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -4,9 +4,10 @@
 use super::placement;
 use crate::bookkeeping::mirror::{Job, Known};
 use crate::bookkeeping::store::{Ask, Rank, Reply};
+use crate::protocol::format::PIPELINES;
 use crate::protocol::job::{Malformed, parse, valid_id};
-use crate::protocol::records::{Chunk, JobRec, Stage, job_key};
-use crate::protocol::wire::{Change, JobState, MachineType, Txn, encode};
+use crate::protocol::records::{CHUNK, Chunk, JobRec, Stage, job_key};
+use crate::protocol::wire::{Change, JobState, MachineType, Txn, json_len};
 use crate::protocol::{Kind, Micros, Settings, Spec};
 use crate::transport::{NetCmd, Outcome};
 use std::collections::BTreeMap;
@@ -30,6 +31,15 @@
         /// The acceptance had failed on the job's key: it must exist, so 404 is no answer.
         status: u16,
     },
+    /// A submission that names a job which the copy does not hold.
+    Submit {
+        /// Request.
+        conn: u64,
+        /// Job.
+        id: String,
+        /// What was submitted.
+        spec: Box<Spec>,
+    },
     /// A cancellation.
     Cancel {
         /// Request.
@@ -73,6 +83,19 @@
 /// Transactions of acceptance in flight at once.
 const BATCHES: usize = 2;
 
+/// What a task's entry in a record takes at most, as JSON, with numbers of some age.
+const ENTRY_BYTES: usize = 30;
+
+/// What a job's record must have room for besides the description: all tasks of the first chunk that
+/// have to be there together; of an array, so many that it gets on.
+fn room_of_tasks(spec: &Spec) -> usize {
+    let most = match spec.kind {
+        Kind::Array => CHUNK / 4,
+        Kind::Gang | Kind::Service => CHUNK,
+    };
+    spec.tasks.min(most) as usize * ENTRY_BYTES
+}
+
 /// Why a job can never run.
 pub fn impossible(s: &Settings, types: &[MachineType], spec: &Spec) -> Option<&'static str> {
     let Some(team) = s.team(&spec.team) else {
@@ -153,6 +176,14 @@
         if let Some(Known::Over(_)) = self.mirror.job(rest.trim_start_matches('/')) {
             return false;
         }
+        if method == "POST"
+            && rest.is_empty()
+            && !self.all_read(PIPELINES)
+            && parse(body).is_ok_and(|(_, spec)| !spec.needs.is_empty())
+        {
+            // A sibling of the first version would accept it without the jobs that it needs.
+            return false;
+        }
         let (method, timeout) = match method {
             "GET" => ("GET", POLL_HANDED_ON),
             "POST" => ("POST", SUBMIT_HANDED_ON),
@@ -190,9 +221,14 @@
                 return;
             }
         };
+        self.on_job(clock, conn, id, spec, true);
+    }
+
+    /// A submission that is well formed; `catch_up`: the copy may be behind.
+    fn on_job(&mut self, clock: Clock, conn: u64, id: String, spec: Spec, catch_up: bool) {
         if let Some(known) = self.mirror.job(&id) {
             let (over, state) = state_of(&id, &known);
-            if over {
+            if over || !catch_up {
                 self.respond(conn, 200, &state);
             } else {
                 let w = Waiter::Resubmit {
@@ -212,10 +248,42 @@
         match verdict {
             Err(why) => self.refuse(conn, 503, why),
             Ok(Some(why)) => self.refuse(conn, 422, why),
-            Ok(None) => self.accept(clock, conn, id, spec),
+            Ok(None) if !spec.needs.is_empty() && !self.all_read(PIPELINES) => {
+                // A controller of the first version drops what it does not know from a record.
+                let why = "jobs can wait for jobs once all controllers run this version";
+                self.refuse(conn, 503, why);
+            }
+            Ok(None) => match self.needs_known(&spec) {
+                Ok(true) => self.accept(clock, conn, id, spec),
+                Ok(false) if catch_up => {
+                    let spec = Box::new(spec);
+                    self.want_barrier(clock, Waiter::Submit { conn, id, spec });
+                }
+                Ok(false) => self.refuse(conn, 422, "awaits names a job that was never accepted"),
+                Err(why) => self.refuse(conn, 422, why),
+            },
         }
     }
 
+    /// Whether the copy holds all the jobs that a submission needs.
+    fn needs_known(&self, spec: &Spec) -> Result<bool, &'static str> {
+        let mut all = true;
+        for need in &spec.needs {
+            let service = match self.mirror.job(need) {
+                None => {
+                    all = false;
+                    false
+                }
+                Some(Known::Over(f)) => f.service,
+                Some(Known::Live(j)) => j.rec.spec.kind == Kind::Service,
+            };
+            if service {
+                return Err("awaits names a service, which is never done");
+            }
+        }
+        Ok(all)
+    }
+
     fn accept(&mut self, clock: Clock, conn: u64, id: String, spec: Spec) {
         if let Some(a) = self.front.accepting.get_mut(&id) {
             a.conns.push(conn);
@@ -234,8 +302,14 @@
             end: Micros::ZERO,
             first: Chunk::default(),
         };
-        if encode(&rec).len() as f64 > self.settings.params.state.value_kb * 1024.0 * 0.5 {
-            self.refuse(conn, 400, "the description is too long");
+        if json_len(&rec) + room_of_tasks(&rec.spec)
+            > self.settings.params.state.least_value_bytes()
+        {
+            self.refuse(
+                conn,
+                400,
+                "the description is too long, or awaits names too many jobs",
+            );
             return;
         }
         let a = Accepting {
@@ -291,6 +365,7 @@
     /// An acceptance came back.
     pub fn on_accepted(&mut self, clock: Clock, ids: Vec<String>, reply: Reply) {
         self.front.batches -= 1;
+        let alone = ids.len() == 1;
         for id in ids {
             let key = job_key(&id);
             let Some(a) = self.front.accepting.get_mut(&id) else {
@@ -298,12 +373,6 @@
             };
             match &reply {
                 Reply::Committed(rev) => {
-                    let state = JobState {
-                        id: id.clone(),
-                        status: "pending".to_string(),
-                        done: None,
-                        running: None,
-                    };
                     let (rec, conns) = (a.rec.clone(), std::mem::take(&mut a.conns));
                     self.forget_accepting(&id);
                     log::debug!("{id} accepted: {} of {}", rec.spec.tasks, rec.spec.class);
@@ -311,6 +380,11 @@
                     if let Some(l) = &mut self.leader {
                         l.dirty = true;
                     }
+                    // It may be over already: a job that it needs may be cancelled.
+                    let Some(known) = self.mirror.job(&id) else {
+                        continue;
+                    };
+                    let (_, state) = state_of(&id, &known);
                     for conn in conns {
                         self.respond(conn, 201, &state);
                     }
@@ -326,6 +400,15 @@
                     }
                 }
                 Reply::Conflict(_) => a.flying = false,
+                // Too many at once for the state service: fewer are tried next.
+                Reply::Rejected if alone => {
+                    let conns = std::mem::take(&mut a.conns);
+                    self.forget_accepting(&id);
+                    for conn in conns {
+                        self.refuse(conn, 503, "the state service does not take the record");
+                    }
+                }
+                Reply::Rejected => a.flying = false,
                 Reply::Lost if clock.now < a.since + SUBMIT_PATIENCE => {
                     a.flying = false;
                     a.tried = true;
@@ -437,6 +520,7 @@
                 }
                 None => self.refuse(conn, 503, "the job's record cannot be read yet"),
             },
+            Waiter::Submit { conn, id, spec } => self.on_job(clock, conn, id, *spec, false),
             Waiter::Cancel { conn, id } => self.on_cancel(clock, conn, id, false),
             Waiter::Proof => {}
             Waiter::Edits(n) => self.settle_edits(n),
@@ -448,6 +532,7 @@
         match w {
             Waiter::Poll { conn, .. }
             | Waiter::Resubmit { conn, .. }
+            | Waiter::Submit { conn, .. }
             | Waiter::Cancel { conn, .. } => {
                 self.refuse(conn, 503, "the state service does not answer");
             }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 pub mod leader;
 pub mod node;
 pub mod pass;
+pub mod pipeline;
 pub mod placement;
 pub mod policy;
 pub mod queue;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -7,8 +7,9 @@
 use super::renewal::Renewals;
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::store::{Ask, Rank, Reply, Store};
+use crate::protocol::format;
 use crate::protocol::peer::Heartbeat;
-use crate::protocol::records::{LEAD, LIVE, LeadRec};
+use crate::protocol::records::{LEAD, LIVE, LeadRec, format_key};
 use crate::protocol::wire::{
     Change, Cond, Misdirected, Problem, Report, Txn, decode, encode, to_value,
 };
@@ -58,6 +59,8 @@
     Types,
     /// What we renew on the leader's behalf: these machines.
     Renewals(Vec<String>),
+    /// The newest format that we read, or that a sibling no longer reads what it did.
+    Format,
 }
 
 /// Calls to others than the store.
@@ -98,6 +101,8 @@
 const BARRIER_SHARE: f64 = 3.0;
 /// Path under which siblings take users' requests from one another.
 pub const HANDED_ON: &str = "/user";
+/// The record of the format we read is looked at again this long after it was written.
+const FORMAT_AGAIN: Micros = Micros::millis(1000);
 /// A leader catches up with the store at least this often.
 const PROOF_EVERY: Micros = Micros::millis(1000);
 
@@ -106,6 +111,8 @@
     heard: Micros,
     leader_silent_ms: Option<u64>,
     served: bool,
+    /// It has told of a format older than the one on record for it, so it has gone back.
+    went_back: Option<u32>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -161,6 +168,10 @@
     sibling_view: BTreeMap<String, SiblingView>,
     /// Highest term that anybody has shown us; below it we never lead, whatever an old copy says.
     highest: u64,
+    /// When our record of the format we read is looked at again; none: it is being written.
+    format_at: Option<Micros>,
+    /// It has been logged that all controllers read our format.
+    rolled_out: bool,
 }
 
 impl Node {
@@ -202,6 +213,8 @@
             leader_heard: None,
             sibling_view: BTreeMap::new(),
             highest: 0,
+            format_at: Some(clock.now),
+            rolled_out: false,
         }
     }
 
@@ -262,7 +275,7 @@
     /// once; what must wait goes on gathering. Returns when to look again.
     fn write_turns(&mut self, clock: Clock) -> Micros {
         let now = clock.now;
-        let most = self.settings.params.state.txn_ops;
+        let most = self.settings.params.state.least_txn_ops();
         loop {
             let accepts = self.accepts_due(now);
             let (edits, next) = self.edits_due(now);
@@ -562,15 +575,78 @@
             }
             (Tag::Types, _) => {}
             (Tag::Renewals(named), reply) => self.on_renewals(clock, named, ask, sent, reply),
+            (Tag::Format, reply) => {
+                self.format_at = Some(clock.now + FORMAT_AGAIN);
+                if let (Reply::Committed(rev), Ask::Txn(t)) = (reply, ask) {
+                    self.apply_own(&t, rev);
+                }
+            }
+        }
+    }
+
+    /// Whether every controller named in the settings has recorded that it reads this format, so that
+    /// what the format adds may be written.
+    pub fn all_read(&self, format: u32) -> bool {
+        let s = &self.settings;
+        let names = s.siblings.iter().map(|x| &x.node);
+        names
+            .chain([&s.node])
+            .all(|n| self.mirror.format_of(n).0 >= format)
+    }
+
+    /// Records which format we read, once per start; a sibling that has gone back to an older version
+    /// loses the record of its newer one.
+    fn formats(&mut self, clock: Clock) -> Micros {
+        let Some(at) = self.format_at else {
+            return Micros::FAR;
+        };
+        if !self.mirror.synced {
+            return Micros::FAR;
+        }
+        if !self.rolled_out && self.all_read(format::NEWEST) {
+            self.rolled_out = true;
+            log::info!("all controllers read format {}", format::NEWEST);
+        }
+        let (ours, version) = self.mirror.format_of(&self.settings.node);
+        let key = format_key(&self.settings.node);
+        let txn = if ours != format::NEWEST {
+            Txn {
+                conds: vec![cond(&key, version)],
+                changes: vec![put(&key, &format::NEWEST, None)],
+            }
+        } else {
+            let view = &self.sibling_view;
+            let back = view.iter().find_map(|(node, v)| {
+                let (recorded, version) = self.mirror.format_of(node);
+                let older = v.went_back.filter(|f| *f < recorded)?;
+                Some((node.clone(), older, version))
+            });
+            let Some((node, older, version)) = back else {
+                return Micros::FAR;
+            };
+            log::warn!("{node} has gone back to format {older}");
+            self.rolled_out = false;
+            let key = format_key(&node);
+            Txn {
+                conds: vec![cond(&key, version)],
+                changes: vec![Change::Delete { key }],
+            }
+        };
+        if clock.now < at {
+            return at;
         }
+        self.format_at = None;
+        self.store.ask(Rank::Usual, Tag::Format, Ask::Txn(txn));
+        Micros::FAR
     }
 
     /// Takes a committed transaction of ours into the copy. Watching continues from where it
     /// was, so changes of others before this revision are not skipped.
     pub fn apply_own(&mut self, txn: &Txn, revision: u64) {
         for c in &txn.changes {
-            if let Change::Put { put, value, .. } = c {
-                self.mirror.put(put, value.clone(), revision);
+            match c {
+                Change::Put { put, value, .. } => self.mirror.put(put, value.clone(), revision),
+                Change::Delete { key } => self.mirror.delete(key, revision),
             }
         }
     }
@@ -694,6 +770,7 @@
                 next = next.min(self.barrier_at + self.barrier_gap());
             }
         }
+        next = next.min(self.formats(clock));
         next = next.min(self.heartbeats(clock));
         next = next.min(self.candidacy(clock));
         next = next.min(self.front_time(clock));
@@ -776,6 +853,7 @@
                 .map(|(_, t)| clock.now.since(*t).0 / 1000),
             newest: self.mirror.synced.then_some(self.mirror.newest),
             served: self.served(),
+            format: format::NEWEST,
         }
     }
 
@@ -822,6 +900,7 @@
             heard: clock.now,
             leader_silent_ms: h.leader_silent_ms,
             served: h.served,
+            went_back: Some(h.format).filter(|f| *f < self.mirror.format_of(&h.node).0),
         };
         self.sibling_view.insert(h.node, view);
     }
@@ -995,7 +1074,8 @@
     } else {
         0.32 / others.max(1.0)
     };
-    (s.params.state.rps * part, s.params.state.write_rps * w)
+    let state = &s.params.state;
+    (state.least_rps() * part, state.least_write_rps() * w)
 }
 
 /// A condition on a key's version.
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -3,13 +3,14 @@
 
 use super::leader::{FRESH_REPORTS, Leader, Trouble, grace, sick};
 use super::node::{Clock, Node};
+use super::pipeline::Lifted;
 use super::placement::{Host, Names, Shape};
 use super::queue::{self, Item, Room, Victim};
 use crate::bookkeeping::mirror::{Job, Mirror};
 use crate::bookkeeping::workers::Standing;
 use crate::protocol::records::{CHUNK, Entry};
 use crate::protocol::wire::{Phase, Why};
-use crate::protocol::{Kind, Micros, Settings};
+use crate::protocol::{Kind, Micros, Priority, Settings};
 use std::collections::{HashMap, HashSet};
 
 /// Room made for a job is kept for it this long; stops take a save and a report or two.
@@ -111,8 +112,14 @@
         victims: &mut Vec<Victim<'a>>,
         found: &mut Findings,
         guaranteed: bool,
+        priority: Priority,
         clock: Clock,
     ) -> Option<Item<'a>> {
+        if job.waits() {
+            // Nothing of it starts before the jobs that it needs are recorded as done; it takes no
+            // room and no place in the queue, and holds nobody up.
+            return None;
+        }
         let now = clock.now;
         let spec = &job.rec.spec;
         let shape = Shape::of(spec, names);
@@ -183,7 +190,7 @@
                             need: shape.need,
                             order: order.copied().unwrap_or(0),
                             backfilled: e.backfilled(),
-                            priority: spec.priority,
+                            priority,
                             saves: single && spec.checkpoint_s > 0.0,
                             team: &spec.team,
                             surplus: !guaranteed,
@@ -255,8 +262,9 @@
             tasks,
             present,
             estimate_s: spec.estimate_s,
+            priority,
             guaranteed,
-            overdue: clock.wall.since(job.rec.at) > OVERDUE,
+            overdue: clock.wall.since(job.released) > OVERDUE,
         })
     }
 
@@ -303,6 +311,7 @@
         let mut items: Vec<(Micros, Item<'_>)> = Vec::new();
         let mut found = Findings::default();
         let within = guaranteed(&self.settings, &self.mirror);
+        let lifted = Lifted::new(&self.mirror);
         for (id, job) in &self.mirror.jobs {
             let item = l.survey(
                 id,
@@ -313,6 +322,7 @@
                 &mut victims,
                 &mut found,
                 within.contains(id.as_str()),
+                lifted.of(id, job),
                 clock,
             );
             items.extend(item.map(|i| (job.rec.at, i)));
@@ -416,7 +426,7 @@
     if left.is_empty() {
         return within;
     }
-    let active = mirror.jobs.iter().filter(|(_, j)| j.active());
+    let active = mirror.jobs.iter().filter(|(_, j)| j.active() && !j.waits());
     let mut jobs: Vec<(&String, &Job)> = active.collect();
     jobs.sort_by_key(|(id, j)| (j.rec.at, *id));
     for (id, job) in jobs {
--- /dev/null
+++ b/src/coordination/pipeline.rs
@@ -0,0 +1,46 @@
+//! What jobs inherit from the jobs that need them.
+
+use crate::bookkeeping::mirror::{Job, Mirror};
+use crate::protocol::Priority;
+use std::collections::HashMap;
+
+/// Priorities of jobs that others need, directly or through others.
+///
+/// Made anew for each pass from the jobs that wait, so that it holds whatever has arrived, been done or
+/// been cancelled meanwhile.
+#[derive(Debug, Default)]
+pub struct Lifted<'a>(HashMap<&'a str, Priority>);
+
+impl<'a> Lifted<'a> {
+    /// Of all jobs in the copy.
+    pub fn new(mirror: &'a Mirror) -> Lifted<'a> {
+        let mut lifted: HashMap<&str, Priority> = HashMap::new();
+        if !mirror.any_wait() {
+            return Lifted(lifted);
+        }
+        // A priority goes up the graph as long as it lifts somebody; there are four of them, so this
+        // ends however the jobs are connected.
+        let waiting = mirror.jobs.iter().filter(|(_, j)| j.active() && j.waits());
+        let mut rising: Vec<(&Job, Priority)> =
+            waiting.map(|(_, j)| (j, j.rec.spec.priority)).collect();
+        while let Some((job, priority)) = rising.pop() {
+            for need in &job.rec.spec.needs {
+                let Some((id, needed)) = mirror.jobs.get_key_value(need) else {
+                    continue;
+                };
+                let held = lifted.entry(id).or_insert(needed.rec.spec.priority);
+                if needed.active() && *held < priority {
+                    *held = priority;
+                    rising.push((needed, priority));
+                }
+            }
+        }
+        Lifted(lifted)
+    }
+
+    /// The highest priority of a job and of all that need it.
+    pub fn of(&self, id: &str, job: &Job) -> Priority {
+        let own = job.rec.spec.priority;
+        self.0.get(id).map_or(own, |p| own.max(*p))
+    }
+}
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -19,6 +19,8 @@
     pub present: Vec<(u32, Option<usize>)>,
     /// Estimated run time, corrected by what was observed.
     pub estimate_s: f64,
+    /// The highest priority of the job and of those that need it.
+    pub priority: Priority,
     /// Fits its team's guarantee together with the team's earlier unfinished jobs.
     pub guaranteed: bool,
     /// Has waited so long that even gangs beyond another team's guarantee give way.
@@ -40,7 +42,7 @@
     pub order: u64,
     /// Started ahead of an earlier job.
     pub backfilled: bool,
-    /// Its job's priority.
+    /// The highest priority of its job and of those that need it.
     pub priority: Priority,
     /// It can save when it is stopped, so little is lost.
     pub saves: bool,
@@ -259,7 +261,7 @@
     let gang = item.spec.kind == Kind::Gang;
     let array = item.spec.kind == Kind::Array;
     let may = |v: &&Victim<'_>| {
-        let lower = v.priority < item.spec.priority && (v.saves || service) && !array;
+        let lower = v.priority < item.priority && (v.saves || service) && !array;
         // A guarantee is given back by whoever runs beyond their own: at once by single tasks that
         // lose little; by gangs, which stop as a whole, when nothing else has helped.
         let surplus = v.surplus && v.team != item.spec.team && (v.single || item.overdue);
--- a/src/coordination/renewal.rs
+++ b/src/coordination/renewal.rs
@@ -214,19 +214,34 @@
         }
         r.flying = true;
         r.written = clock.now;
-        let rec = RenewRec::new(r.under.0, r.machines.keys());
-        let key = renew_key(&self.settings.node);
-        let held = self.mirror.renewals.get(&self.settings.node);
-        // A write that got no answer and is carried out late must not replace a newer record.
-        let txn = Txn {
-            conds: vec![
-                cond(LEAD, r.under.1),
-                cond(&key, held.map_or(0, |(_, v)| *v)),
-            ],
-            changes: vec![put(&key, &rec, None)],
-        };
-        self.store
-            .ask(Rank::First, Tag::Renewals(rec.machines()), Ask::Txn(txn));
+        let state = &self.settings.params.state;
+        let bytes = state.least_value_bytes();
+        let mut parts = RenewRec::split(r.under.0, r.machines.keys(), bytes);
+        // What does not go into one transaction is not named, and so not renewed.
+        parts.truncate(state.least_txn_ops());
+        let named: Vec<String> = parts.iter().flat_map(RenewRec::machines).collect();
+        let held = self.mirror.renewals_of(&self.settings.node);
+        let blank = RenewRec::new(r.under.0, [].into_iter());
+        while parts.len() < held.len() {
+            parts.push(blank.clone());
+        }
+        let mut conds = vec![cond(LEAD, r.under.1)];
+        let mut changes = Vec::new();
+        for (n, rec) in parts.iter().enumerate() {
+            let key = renew_key(&self.settings.node, n);
+            let held = held.get(n).copied().flatten();
+            if n > 0 && rec.is_empty() && held.is_some_and(|(h, _)| h.is_empty()) {
+                continue;
+            }
+            // A write that got no answer and is carried out late must not replace a newer record.
+            conds.push(cond(&key, held.map_or(0, |(_, v)| *v)));
+            changes.push(put(&key, rec, None));
+        }
+        self.store.ask(
+            Rank::First,
+            Tag::Renewals(named),
+            Ask::Txn(Txn { conds, changes }),
+        );
     }
 
     /// The record came back.
@@ -312,8 +327,9 @@
         }
         if !r.active() {
             // What an earlier run of ours renewed has run out by now: say so.
-            let mine = self.mirror.renewals.get(&self.settings.node);
-            let stale = mine.filter(|(m, _)| !m.is_empty()).map(|(m, _)| m.term);
+            let mine = self.mirror.renewals_of(&self.settings.node);
+            let mut named = mine.into_iter().flatten().filter(|(m, _)| !m.is_empty());
+            let stale = named.next().map(|(m, _)| m.term);
             if let (Some(term), Some((lead, version))) = (stale, &self.mirror.lead)
                 && term == lead.term
             {
--- /dev/null
+++ b/src/protocol/format.rs
@@ -0,0 +1,15 @@
+//! Formats of our records, and how controllers of different versions agree on one.
+//!
+//! While a new version is rolled out, controllers of both versions work on the same records. Each
+//! controller records the newest format that it reads (`records::format_key`) and tells it in its
+//! heartbeats; one without such a record is of the first version. Whatever a format adds is written
+//! only once every controller named in the settings has recorded that it reads it. A later change of
+//! the records takes the next number here, and asks `Node::all_read` for it.
+
+/// Records and heartbeats of the first version, which names no format.
+pub const FIRST: u32 = 1;
+/// Jobs may need other jobs (`Spec::needs`). The first version would drop the field whenever it
+/// writes the record, and start the job too early.
+pub const PIPELINES: u32 = 2;
+/// The newest format that this version reads.
+pub const NEWEST: u32 = PIPELINES;
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -92,6 +92,9 @@
     /// Deadline from submission.
     #[serde(rename = "due_s", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts (format `PIPELINES`).
+    #[serde(rename = "awaits", default, skip_serializing_if = "Vec::is_empty")]
+    pub needs: Vec<String>,
 }
 
 /// Most tasks a job may have.
@@ -200,6 +203,21 @@
         None => None,
         Some(_) => Some(f.amount("due_s", ABSURD)?),
     };
+    let mut needs = Vec::new();
+    match f.get("awaits") {
+        None => {}
+        Some(Value::Array(list)) => {
+            for v in list {
+                let need = v.as_str().filter(|n| valid_id(n));
+                let need = need.ok_or(Malformed::Field("awaits"))?;
+                needs.push(need.to_string());
+            }
+        }
+        Some(_) => return Err(Malformed::Field("awaits")),
+    }
+    // One that is named twice counts once.
+    needs.sort_unstable();
+    needs.dedup();
     let spec = Spec {
         class: f.text("docket")?,
         team: f.text("crew")?,
@@ -220,6 +238,7 @@
         checkpoint_s: f.amount("proof_s", ABSURD)?,
         save_s: f.amount("stash_s", ABSURD)?,
         deadline_s,
+        needs,
     };
     Ok((id, spec))
 }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,5 +1,6 @@
 //! Wire types, validation and the settings file. The wire's own words stay in here.
 
+pub mod format;
 pub mod job;
 pub mod peer;
 pub mod records;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -1,5 +1,6 @@
 //! What controllers tell one another (postcard).
 
+use super::format;
 use serde::{Deserialize, Serialize};
 
 /// Sent to every sibling at a steady pace.
@@ -16,16 +17,23 @@
     pub newest: Option<u64>,
     /// The sender has read the records, and the state service serves it.
     pub served: bool,
+    /// Newest format of records that the sender reads. It follows the rest of the message: the first
+    /// version neither sends it nor looks at what comes after the fields it knows.
+    #[serde(skip)]
+    pub format: u32,
 }
 
 impl Heartbeat {
     /// As bytes.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
+        let known = postcard::to_stdvec(self).unwrap_or_default();
+        postcard::to_extend(&self.format, known).unwrap_or_default()
     }
 
     /// From bytes.
     pub fn decode(b: &[u8]) -> Option<Heartbeat> {
-        postcard::from_bytes(b).ok()
+        let (mut beat, rest) = postcard::take_from_bytes::<Heartbeat>(b).ok()?;
+        beat.format = postcard::from_bytes(rest).unwrap_or(format::FIRST);
+        Some(beat)
     }
 }
--- a/src/protocol/records.rs
+++ b/src/protocol/records.rs
@@ -1,5 +1,6 @@
 //! What we keep in the state service.
 
+use super::wire::json_len;
 use super::{Micros, Spec};
 use serde::{Deserialize, Serialize};
 
@@ -21,9 +22,21 @@
 /// Machines whose leases a follower renews.
 pub const RENEWALS: &str = "wt/r/";
 
-/// Key of a follower's renewals.
-pub fn renew_key(node: &str) -> String {
-    format!("{RENEWALS}{node}")
+/// Newest format that each controller reads.
+pub const FORMATS: &str = "wt/f/";
+
+/// Key of the newest format that a controller reads.
+pub fn format_key(node: &str) -> String {
+    format!("{FORMATS}{node}")
+}
+
+/// Key of part `n` of a follower's renewals. The first version knows part 0 only as a writer; as a
+/// leader it takes further parts for those of further followers, which comes to the same.
+pub fn renew_key(node: &str, n: usize) -> String {
+    match n {
+        0 => format!("{RENEWALS}{node}"),
+        n => format!("{RENEWALS}{node}/{n}"),
+    }
 }
 
 /// Machines whose leases a follower renews on behalf of the leader with this term.
@@ -59,6 +72,28 @@
         RenewRec { term, names }
     }
 
+    /// The same in as many records as a value's length asks for; at least one.
+    pub fn split<'a>(
+        term: u64,
+        machines: impl Iterator<Item = &'a String>,
+        most_bytes: usize,
+    ) -> Vec<RenewRec> {
+        let all: Vec<&String> = machines.collect();
+        let mut whole = vec![all.as_slice()];
+        let mut parts = Vec::new();
+        while let Some(some) = whole.pop() {
+            let rec = RenewRec::new(term, some.iter().copied());
+            if some.len() < 2 || json_len(&rec) <= most_bytes {
+                parts.push(rec);
+            } else {
+                let (a, b) = some.split_at(some.len() / 2);
+                whole.push(b);
+                whole.push(a);
+            }
+        }
+        parts
+    }
+
     /// The machines.
     pub fn machines(&self) -> Vec<String> {
         let mut last = String::new();
@@ -225,7 +260,7 @@
     use std::collections::BTreeSet;
 
     #[test]
-    fn six_hundred_machines_fit_into_one_value() {
+    fn six_hundred_machines_fit_into_four_small_values() {
         let names: BTreeSet<String> = (40..700)
             .filter(|i| i % 11 != 0)
             .map(|i| format!("n-{i:06}"))
@@ -233,6 +268,11 @@
             .collect();
         let rec = RenewRec::new(7, names.iter());
         assert!(crate::protocol::wire::encode(&rec).len() < 4096);
-        assert_eq!(rec.machines(), names.into_iter().collect::<Vec<_>>());
+        assert_eq!(rec.machines(), names.iter().cloned().collect::<Vec<_>>());
+        let parts = RenewRec::split(7, names.iter(), 1843);
+        assert!(parts.len() <= 4 && parts.iter().all(|p| json_len(p) <= 1843));
+        let all: Vec<String> = parts.iter().flat_map(RenewRec::machines).collect();
+        assert_eq!(all, names.into_iter().collect::<Vec<_>>());
+        assert_eq!(RenewRec::split(7, [].into_iter(), 1843).len(), 1);
     }
 }
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -117,6 +117,59 @@
     pub value_kb: f64,
     /// Most changes of a transaction.
     pub txn_ops: usize,
+    /// Limits that will hold from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextStateParams>,
+}
+
+/// Limits that the state service will have later; what is not named does not change.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct NextStateParams {
+    /// Requests a second.
+    #[serde(default)]
+    pub rps: Option<f64>,
+    /// Changes a second.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// Largest value.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Most changes of a transaction.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+/// Part of a value's limit that we use: how exactly the service counts is its own business.
+const VALUE_USED: f64 = 0.9;
+
+impl StateParams {
+    /// The lower of a present and a coming limit. Nobody tells when the coming ones begin, so we
+    /// keep to the lower from the start.
+    fn lower(&self, now: f64, later: impl Fn(&NextStateParams) -> Option<f64>) -> f64 {
+        let later = self.next.as_ref().and_then(later);
+        later.map_or(now, |l| now.min(l))
+    }
+
+    /// Requests a second that we may count on.
+    pub fn least_rps(&self) -> f64 {
+        self.lower(self.rps, |n| n.rps)
+    }
+
+    /// Changes a second that we may count on.
+    pub fn least_write_rps(&self) -> f64 {
+        self.lower(self.write_rps, |n| n.write_rps)
+    }
+
+    /// How long a value may be, as JSON.
+    pub fn least_value_bytes(&self) -> usize {
+        (self.lower(self.value_kb, |n| n.value_kb) * 1024.0 * VALUE_USED) as usize
+    }
+
+    /// How many changes a transaction may have.
+    pub fn least_txn_ops(&self) -> usize {
+        let later = self.next.as_ref().and_then(|n| n.txn_ops);
+        later.map_or(self.txn_ops, |l| self.txn_ops.min(l))
+    }
 }
 
 /// Limits of the cloud.
@@ -231,7 +284,14 @@
             ("params.limits.core_share", p.limits.core_share),
             ("params.limits.mem_mb", p.limits.mem_mb),
         ];
-        for (field, v) in positive {
+        let next = p.state.next.clone().unwrap_or_default();
+        let later = [
+            ("params.state.next.rps", next.rps),
+            ("params.state.next.write_rps", next.write_rps),
+            ("params.state.next.value_kb", next.value_kb),
+        ];
+        let later = later.into_iter().filter_map(|(f, v)| Some((f, v?)));
+        for (field, v) in positive.into_iter().chain(later) {
             if !(v.is_finite() && v > 0.0) {
                 return bad(field, "must be above 0");
             }
@@ -246,6 +306,9 @@
         if p.state.txn_ops < 2 {
             return bad("params.state.txn_ops", "must be at least 2");
         }
+        if next.txn_ops.is_some_and(|n| n < 2) {
+            return bad("params.state.next.txn_ops", "must be at least 2");
+        }
         if p.limits.sockets < 32 {
             return bad("params.limits.sockets", "must be at least 32");
         }
--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -26,6 +26,26 @@
     rmpv::decode::read_value(&mut encode(v).as_slice()).unwrap_or(rmpv::Value::Nil)
 }
 
+/// How long a value is as the state service counts it, which is as JSON.
+pub fn json_len<T: Serialize>(v: &T) -> usize {
+    struct Count(usize);
+    impl std::io::Write for Count {
+        fn write(&mut self, b: &[u8]) -> std::io::Result<usize> {
+            self.0 += b.len();
+            Ok(b.len())
+        }
+        fn flush(&mut self) -> std::io::Result<()> {
+            Ok(())
+        }
+    }
+    let mut n = Count(0);
+    match serde_json::to_writer(&mut n, v) {
+        Ok(()) => n.0,
+        // Only types without a JSON form fail; ours all have one.
+        Err(_) => usize::MAX,
+    }
+}
+
 /// State of a task on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -10,9 +10,10 @@
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
-use store::FakeStore;
+use store::{FakeStore, Limits};
 use walnuttrestle::coordination::node::{Clock, Node};
 use walnuttrestle::coordination::policy::Policy;
+use walnuttrestle::protocol::settings::NextStateParams;
 use walnuttrestle::protocol::wire::*;
 use walnuttrestle::protocol::{Kind, Micros, Settings, Spec};
 use walnuttrestle::transport::{Call, NetCmd, NetEvent, Outcome};
@@ -112,6 +113,8 @@
     cuts: Vec<(Party, Party, Cut, u64)>,
     pub lose_answers: Vec<(Party, u64)>,
     write_rps: f64,
+    /// Limits that the settings announce for later.
+    next: Option<Limits>,
     /// What the controllers have asked of others since this was last reset.
     pub costs: Costs,
     /// The cloud has no machine to rent.
@@ -207,6 +210,15 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        needs: Vec::new(),
+    }
+}
+
+/// The same job, waiting for others.
+pub fn after(needs: &[&str], spec: Spec) -> Spec {
+    Spec {
+        needs: needs.iter().map(|n| n.to_string()).collect(),
+        ..spec
     }
 }
 
@@ -217,8 +229,20 @@
 
     /// A world whose state service takes so many changes a second.
     pub fn with_budget(seed: u64, nodes: usize, machines: usize, write_rps: f64) -> World {
+        World::with_limits(seed, nodes, machines, write_rps, None)
+    }
+
+    /// A world whose settings announce other limits of the state service.
+    pub fn with_limits(
+        seed: u64,
+        nodes: usize,
+        machines: usize,
+        write_rps: f64,
+        next: Option<Limits>,
+    ) -> World {
         let mut w = World {
             write_rps,
+            next,
             costs: Costs::default(),
             no_capacity: false,
             broken_jobs: BTreeSet::new(),
@@ -298,6 +322,12 @@
         let clock = self.clock();
         let mut settings = settings(i, n);
         settings.params.state.write_rps = self.write_rps;
+        settings.params.state.next = self.next.map(|l| NextStateParams {
+            rps: None,
+            write_rps: Some(l.write_rps),
+            value_kb: Some(l.value_kb),
+            txn_ops: Some(l.txn_ops),
+        });
         let node = Node::new(settings, Policy::default(), seed, clock);
         self.nodes[i].node = Some(node);
         self.nodes[i].run += 1;
@@ -601,9 +631,18 @@
             }
         } else if state == "cancelled" {
             t.told_cancelled = t.told_cancelled.or(Some(now));
-            if !t.asked_cancel {
+            if !t.asked_cancel && !self.before(&id).iter().any(|t| t.asked_cancel) {
                 self.broken("went_back", format!("{id} cancelled without being asked"));
             }
+        } else {
+            let told = self
+                .before(&id)
+                .iter()
+                .filter_map(|t| t.told_cancelled)
+                .min();
+            if told.is_some_and(|c| now > c + CANCEL_S * SEC) {
+                self.broken("orphaned", format!("{id} is called {state}"));
+            }
         }
         if let Some(before) = self.told_final.get(&id)
             && *before != state
@@ -617,6 +656,20 @@
 
     // ---- the checker -------------------------------------------------------------------
 
+    /// All jobs before this one, directly or through others.
+    fn before(&self, id: &str) -> Vec<&JobTruth> {
+        let mut found = BTreeSet::new();
+        let mut open = vec![id];
+        while let Some(t) = open.pop().and_then(|id| self.jobs.get(id)) {
+            for need in &t.spec.needs {
+                if found.insert(need.as_str()) {
+                    open.push(need);
+                }
+            }
+        }
+        found.iter().filter_map(|id| self.jobs.get(*id)).collect()
+    }
+
     /// A task has got its image on a machine: is that allowed?
     fn check_start(&mut self, machine: &str, task: &str) {
         let (id, n) = task.rsplit_once('/').expect("a task name");
@@ -649,6 +702,13 @@
             .map(|(_, z, _)| z)
             .collect();
         let s = &t.spec;
+        let early = self
+            .before(id)
+            .iter()
+            .any(|n| (n.done.len() as u32) < n.spec.tasks);
+        if early {
+            self.broken("too_early", task.to_string());
+        }
         if spot && !s.spot {
             self.broken("wrong_place", format!("{task} on a spot machine"));
         }
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -13,8 +13,22 @@
     pub until: u64,
 }
 
+/// What the state service takes.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    pub value_kb: f64,
+    pub txn_ops: usize,
+    pub write_rps: f64,
+}
+
 #[derive(Default)]
 pub struct FakeStore {
+    /// Limits in force; none: it takes everything.
+    pub limits: Option<Limits>,
+    /// Transactions refused by limits: for their size, and for their pace.
+    pub too_large: usize,
+    pub too_fast: usize,
+    budget: (u64, f64),
     keys: BTreeMap<String, (Value, u64, Option<u64>)>,
     log: Vec<WatchEvent>,
     leases: BTreeMap<u64, (u64, u64)>,
@@ -77,6 +91,32 @@
         }
     }
 
+    /// What the limits say to a transaction.
+    fn over_limits(&mut self, now: u64, txn: &Txn) -> Option<u16> {
+        let l = self.limits?;
+        let long = |c: &Change| match c {
+            Change::Put { value, .. } => json_len(value) as f64 > l.value_kb * 1024.0,
+            Change::Delete { .. } => false,
+        };
+        if txn.changes.len() > l.txn_ops
+            || txn.conds.len() > l.txn_ops * 4
+            || txn.changes.iter().any(long)
+        {
+            self.too_large += 1;
+            return Some(400);
+        }
+        let (at, level) = self.budget;
+        let level = (level + (now - at) as f64 / 1e6 * l.write_rps).min(l.write_rps);
+        let n = txn.changes.len() as f64;
+        self.budget = (now, level);
+        if level < n {
+            self.too_fast += 1;
+            return Some(429);
+        }
+        self.budget.1 -= n;
+        None
+    }
+
     fn events(&self, after: u64) -> WatchAnswer {
         WatchAnswer {
             revision: self.revision,
@@ -170,6 +210,9 @@
             }
             ("POST", "/multi") => {
                 let txn: Txn = decode(body).expect("a transaction");
+                if let Some(status) = self.over_limits(now, &txn) {
+                    return Some((status, Vec::new()));
+                }
                 let failed: Vec<String> = txn
                     .conds
                     .iter()
