--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+pub mod old;
 pub mod store;
 pub mod worker;
 
@@ -54,6 +55,8 @@
     node: Option<Node>,
     run: u64,
     wake: u64,
+    /// Runs the first version.
+    old: bool,
 }
 
 /// How a cut treats what is sent across it.
@@ -82,7 +85,7 @@
     Poll(String),
     Cancel(String),
     Report(String, u64),
-    Peer(usize, u64, u64),
+    Peer(usize, u64, u64, bool),
 }
 
 /// Calls made by controllers.
@@ -279,6 +282,7 @@
                 node: None,
                 run: 0,
                 wake: 0,
+                old: false,
             });
             w.boot(i);
         }
@@ -290,6 +294,16 @@
         w
     }
 
+    /// All controllers run the first version, from the beginning.
+    pub fn all_old(seed: u64, machines: usize) -> World {
+        let mut w = World::new(seed, 3, machines);
+        for i in 0..3 {
+            w.crash(i, 0);
+            w.set_old(i, true);
+        }
+        w
+    }
+
     pub fn machine(&mut self, zone: &str, spot: bool) -> String {
         self.machines += 1;
         let name = format!("n-{:06}", self.machines);
@@ -335,6 +349,11 @@
         self.deliver(i, Vec::new());
     }
 
+    /// Which version a controller runs from its next start on.
+    pub fn set_old(&mut self, i: usize, old: bool) {
+        self.nodes[i].old = old;
+    }
+
     pub fn crash(&mut self, i: usize, back: u64) {
         self.nodes[i].node = None;
         self.conns.retain(|(n, _), p| match p {
@@ -435,8 +454,15 @@
         }
     }
 
-    fn send(&mut self, i: usize, run: u64, call: Call) {
+    fn send(&mut self, i: usize, run: u64, mut call: Call) {
         let to = self.party(&call);
+        if self.nodes[i].old && to == Party::Store && call.path == "/multi" {
+            match old::writes(call.body) {
+                Some(body) => call.body = body,
+                // It never asks for this: the call is not made.
+                None => return,
+            }
+        }
         self.count(&to, &call);
         let key = (i, run, call.id);
         self.open.insert(key, ());
@@ -482,8 +508,10 @@
                 }
                 self.schedule(at, Ev::ReportAnswer(name, number, status, body));
             }
-            Some(Pending::Peer(from, run, id)) => {
+            Some(Pending::Peer(from, run, id, beat)) => {
                 let who = Party::Node(i);
+                let old = beat && (self.nodes[i].old || self.nodes[from].old);
+                let body = if old { old::heartbeat(body) } else { body };
                 self.answer(who, from, run, id, status, body);
             }
             Some(Pending::Submit(id)) => self.user_heard(id, "submit", status, &body),
@@ -991,6 +1019,12 @@
             }
             for (ticket, body) in self.store.answerable(self.now) {
                 if let Some((i, run, id)) = self.watchers.remove(&ticket) {
+                    let old = self.nodes[i].old;
+                    let body = if old {
+                        old::reads("/watch", body)
+                    } else {
+                        body
+                    };
                     self.answer(Party::Store, i, run, id, 200, body);
                 }
             }
@@ -1126,7 +1160,12 @@
                     .store
                     .handle(self.now, i, ticket, call.method, &call.path, &call.body)
                 {
-                    Some((status, body)) => self.answer(to, i, run, id, status, body),
+                    Some((status, mut body)) => {
+                        if self.nodes[i].old && status == 200 {
+                            body = old::reads(&call.path, body);
+                        }
+                        self.answer(to, i, run, id, status, body);
+                    }
                     None => {
                         self.watchers.insert(ticket, (i, run, id));
                     }
@@ -1168,13 +1207,21 @@
                 }
                 self.serial += 1;
                 let conn = self.serial;
-                self.conns.insert((*j, conn), Pending::Peer(i, run, id));
+                let beat = call.path == "/heartbeat";
+                let old = beat && (self.nodes[i].old || self.nodes[*j].old);
+                let body = if old {
+                    old::heartbeat(call.body)
+                } else {
+                    call.body
+                };
+                self.conns
+                    .insert((*j, conn), Pending::Peer(i, run, id, beat));
                 let ev = NetEvent::Request {
                     conn,
                     internal: true,
                     method: call.method.into(),
                     path: call.path,
-                    body: call.body,
+                    body,
                 };
                 self.deliver(*j, vec![ev]);
             }
