--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -224,6 +224,10 @@
         ("due_s", Value::from(-3.0)),
         ("plate", Value::Nil),
         ("docket", Value::from(long.as_str())),
+        ("awaits", Value::from("req-1")),
+        ("awaits", Value::Array(vec![Value::from(1)])),
+        ("awaits", Value::Array(vec![Value::Nil])),
+        ("awaits", Value::Array(vec![Value::from("job-1")])),
     ] {
         assert!(
             parse(&with(field, value.clone())).is_err(),
@@ -236,6 +240,10 @@
         let optional = field.as_str() == Some("presses");
         assert_eq!(parse(&bytes(m)).is_ok(), optional, "{field}");
     }
+    let needs = |v| parse(&with("awaits", v)).unwrap().1.needs;
+    assert!(needs(Value::Nil).is_empty() && needs(Value::Array(vec![])).is_empty());
+    let twice = ["req-2", "req-1", "req-2"].map(Value::from);
+    assert_eq!(needs(Value::Array(twice.to_vec())), ["req-1", "req-2"]);
     assert!(parse(b"").is_err() && parse(&[0xc1]).is_err() && parse(&[0x93, 1, 2, 3]).is_err());
     assert!(
         parse(&with("cards", Value::from(2))).is_ok(),
@@ -319,6 +327,29 @@
         let text = e.to_string();
         assert!(text.contains("s.toml") && text.contains(word), "{text}");
     }
+    let next = |line: &str| {
+        let at = "[params.state.next]\n";
+        Settings::parse("s.toml", &format!("{fine}\n{at}{line}\n"))
+    };
+    for (line, word) in [
+        ("value_kb = 0.0", "params.state.next.value_kb"),
+        ("write_rps = -1.0", "params.state.next.write_rps"),
+        ("rps = inf", "params.state.next.rps"),
+        ("txn_ops = 1", "params.state.next.txn_ops"),
+        ("txn_ops = \"few\"", "txn_ops"),
+    ] {
+        let text = next(line).unwrap_err().to_string();
+        assert!(text.contains(word), "{text}");
+    }
+    let lower = next("write_rps = 7.5\ntxn_ops = 4000").unwrap();
+    let state = &lower.params.state;
+    assert_eq!(state.least_write_rps(), 7.5);
+    assert_eq!(state.least_txn_ops(), 8, "never above the present limit");
+    assert_eq!(
+        state.least_rps(),
+        state.rps,
+        "what is not named does not change"
+    );
     let more = format!("colour = \"red\"\n{fine}");
     assert!(
         Settings::parse("s.toml", &more).is_ok(),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -648,6 +648,17 @@
             self.broken("forgotten", format!("{id}: {what} answered {status}"));
             return;
         }
+        if what == "submit" && status == 422 {
+            let needs = t.spec.needs.clone();
+            let known = |n: &String| {
+                let need = self.jobs.get(n);
+                need.is_some_and(|t| t.accepted && t.spec.kind != Kind::Service)
+            };
+            if !needs.is_empty() && needs.iter().all(known) {
+                self.broken("refused", format!("{id}: all that it needs is accepted"));
+            }
+            return;
+        }
         if !matches!(status, 200 | 201) {
             return;
         }
