--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -457,10 +457,11 @@
         } + 1;
         let name = &hosts.names[p.host];
         log::debug!(
-            "{}/{} attempt {attempt} goes to {name}{}",
+            "{}/{} attempt {attempt} goes to {name}{} with {}",
             p.job,
             p.task,
-            if p.backfilled { ", backfilled" } else { "" }
+            if p.backfilled { ", backfilled" } else { "" },
+            job.rec.spec.image
         );
         l.started += 1;
         let order = l.order_of.entry(p.job.clone()).or_default();
