--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -486,6 +486,7 @@
             let spec = &job.rec.spec;
             let shape = &lack.shape;
             let mut left = place_virtually(spec, shape, &mut coming, lack.tasks);
+            let before_all = ordered;
             while left > 0 && ordered < RENTED_A_PASS {
                 let total: usize = count.values().sum();
                 if most > 0 && total >= most {
@@ -504,6 +505,15 @@
                     break;
                 }
             }
+            if ordered > before_all {
+                log::debug!(
+                    "{}: {} of its {} tasks lack room, {} machines are rented for it",
+                    lack.job,
+                    lack.tasks,
+                    spec.tasks,
+                    ordered - before_all
+                );
+            }
         }
         for ((kind, zone, spot), mut n) in orders {
             while n > 0 {
