--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1018,7 +1018,7 @@
     let low = Limits {
         value_kb: 2.0,
         txn_ops: 4,
-        write_rps: 14.0,
+        write_rps: 9.0,
     };
     for seed in 180..184 {
         let mut w = World::with_limits(seed, 3, 10, 60.0, Some(low));
@@ -1026,8 +1026,7 @@
         for n in 0..6 {
             let spec = Spec {
                 class: "bleed-trim".into(),
-                image: "img-of-the-trimming-program-with-a-long-name-000017".repeat(3),
-                types: Some(vec!["box".into()]),
+                types: Some(vec!["box".into(), "l".repeat(190), "m".repeat(190)]),
                 deadline_s: Some(712.123_456_789),
                 ..job(Kind::Array, 240, 0.25)
             };
@@ -1041,7 +1040,7 @@
         w.user("req-77", job(Kind::Array, 1, 1.0), SEC);
         w.run(200);
         assert_eq!(w.store.too_large, 0);
-        assert!(w.store.too_fast <= 6, "{} refusals", w.store.too_fast);
+        assert_eq!(w.store.too_fast, 0);
         assert!(
             (0..6).all(|n| w.job_done(&format!("req-{n}"))),
             "seed {seed}"
