--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -95,6 +95,12 @@
 const HEARTBEAT_EVERY: Micros = Micros::millis(700);
 /// A leader silent for this long on all links of all siblings is taken for dead.
 const LEADER_SILENT: Micros = Micros::millis(2500);
+/// A worker waits 4 s for an answer, and 1 s more before it tries the next controller.
+const VAIN_TRY: Micros = Micros::millis(5000);
+/// Reports come up to a quarter of their interval late.
+const LATEST_REPORT: f64 = 1.25;
+/// A leader is relieved only this long after the last change of the lead.
+const CALM: Micros = Micros::millis(10_000);
 /// The standing watch is opened anew after this many of our requests' time at the soonest, and
 /// barriers of polls are as far apart: the rest of the budget is for what users wait for longer.
 const FOLLOW_SHARE: f64 = 5.0;
@@ -168,6 +174,8 @@
     sibling_view: BTreeMap<String, SiblingView>,
     /// Highest term that anybody has shown us; below it we never lead, whatever an old copy says.
     highest: u64,
+    /// Version of the record of the lead, and since when we know it.
+    lead_seen: (u64, Micros),
     /// When our record of the format we read is looked at again; none: it is being written.
     format_at: Option<Micros>,
     /// It has been logged that all controllers read our format.
@@ -213,6 +221,7 @@
             leader_heard: None,
             sibling_view: BTreeMap::new(),
             highest: 0,
+            lead_seen: (0, clock.now),
             format_at: Some(clock.now),
             rolled_out: false,
         }
@@ -493,7 +502,7 @@
             (Tag::ClaimLease, Reply::Lease(l)) => {
                 self.lease = Some(l);
                 // Somebody else may have claimed while the lease was asked for.
-                if self.vacant(clock) {
+                if self.vacant(clock) || self.relieves(clock) {
                     self.send_claim();
                 } else {
                     self.claim = ClaimState::Idle;
@@ -696,6 +705,10 @@
 
     /// The copy has changed: look who leads.
     fn on_news(&mut self, clock: Clock) {
+        let version = self.mirror.lead.as_ref().map_or(0, |(_, v)| *v);
+        if self.lead_seen.0 != version {
+            self.lead_seen = (version, clock.now);
+        }
         let ours = self
             .mirror
             .lead
@@ -979,18 +992,44 @@
         }
     }
 
-    /// Whether the controller after us, by name, is in another zone. A worker that cannot reach
-    /// the leader tries the next one, and a lease has room for one vain try only: if a cut
-    /// between zones is the reason, the next one should be on its side.
-    fn next_is_elsewhere(&self) -> bool {
+    /// Whether the controller after this one, by name, is in another zone. A worker that cannot reach
+    /// the leader tries the next one, and a lease may have room for one vain try only: if a cut between
+    /// zones is the reason, the next one should be on its side.
+    fn next_is_elsewhere(&self, node: &str) -> bool {
+        let s = &self.settings;
+        let others = s.siblings.iter().map(|x| (&x.node, &x.zone));
+        let all: Vec<_> = others.chain([(&s.node, &s.zone)]).collect();
+        let zone = all.iter().find(|(n, _)| *n == node).map(|(_, z)| *z);
+        let after = all.iter().filter(|(n, _)| n.as_str() > node).min();
+        after.or(all.iter().min()).map(|(_, z)| *z) != zone
+    }
+
+    /// Whether we had better lead in place of a leader that is alive: workers that a cut between zones
+    /// keeps from it would try another controller of its zone next, in vain, and lose their leases,
+    /// while from us they would come to one of theirs. Only in calm times; a takeover costs a moment.
+    fn relieves(&self, clock: Clock) -> bool {
         let s = &self.settings;
-        let after = s
+        let w = &s.params.workers;
+        let Some((lead, _)) = &self.mirror.lead else {
+            return false;
+        };
+        let two_vain = (VAIN_TRY + VAIN_TRY).as_secs() + w.report_s * LATEST_REPORT;
+        let calm = |v: &SiblingView| v.served && clock.now.since(v.heard) < LEADER_SILENT;
+        let first = s
             .siblings
             .iter()
-            .filter(|x| x.node > s.node)
-            .min_by_key(|x| &x.node);
-        let first = s.siblings.iter().min_by_key(|x| &x.node);
-        after.or(first).is_none_or(|x| x.zone != s.zone)
+            .all(|x| x.node > s.node || !self.next_is_elsewhere(&x.node));
+        lead.node != s.node
+            && self.mirror.live.is_some()
+            && two_vain > w.lease_s
+            && !self.next_is_elsewhere(&lead.node)
+            && self.next_is_elsewhere(&s.node)
+            && first
+            && clock.now.since(self.lead_seen.1) >= CALM
+            && self.served()
+            && s.siblings
+                .iter()
+                .all(|x| self.sibling_view.get(&x.node).is_some_and(calm))
     }
 
     fn candidacy(&mut self, clock: Clock) -> Micros {
@@ -1003,7 +1042,7 @@
                 // A little apart, so that not all claim at once.
                 let apart = if own_past {
                     0
-                } else if self.next_is_elsewhere() {
+                } else if self.next_is_elsewhere(&self.settings.node) {
                     self.rng.random_range(0..150)
                 } else {
                     self.rng.random_range(250..400)
@@ -1015,6 +1054,13 @@
                 }
                 at
             }
+            ClaimState::Idle if self.relieves(clock) => {
+                log::info!("taking the lead over from a controller that cuts would hide");
+                self.claim = ClaimState::Asking;
+                self.store
+                    .ask(Rank::First, Tag::ClaimLease, Ask::NewLease(LEAD_TTL));
+                Micros::FAR
+            }
             ClaimState::Waiting(at) if at <= clock.now => {
                 if self.vacant(clock) {
                     self.claim = ClaimState::Asking;
