--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -314,10 +314,17 @@
         }
         None
     };
-    if half == n
-        && let Some(found) = zones.iter().find_map(|z| fill(Some(*z)))
-    {
-        return Some(found);
+    if half == n {
+        // The slowest fetch decides when a gang starts: the zone where most of its tasks find their
+        // image, and among equals the first.
+        let fetches = |found: &Vec<usize>| {
+            let without = |h: &&usize| !hosts[**h].images.contains(&shape.image);
+            found.iter().filter(without).count()
+        };
+        let found = zones.iter().filter_map(|z| fill(Some(*z)));
+        if let Some(found) = found.min_by_key(fetches) {
+            return Some(found);
+        }
     }
     if spec.one_zone { None } else { fill(None) }
 }
