--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -374,8 +374,13 @@
             match &reply {
                 Reply::Committed(rev) => {
                     let (rec, conns) = (a.rec.clone(), std::mem::take(&mut a.conns));
+                    let took = clock.now.since(a.since);
                     self.forget_accepting(&id);
-                    log::debug!("{id} accepted: {} of {}", rec.spec.tasks, rec.spec.class);
+                    log::debug!(
+                        "{id} accepted: {} of {}, {took} after it came",
+                        rec.spec.tasks,
+                        rec.spec.class
+                    );
                     self.mirror.put_job(&id, rec, *rev);
                     if let Some(l) = &mut self.leader {
                         l.dirty = true;
