--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -52,6 +52,8 @@
     LeaseGone,
     /// Certainly not carried out.
     Refused,
+    /// The same, because too much was asked for at once: a moment later it may be carried out.
+    TooFast,
     /// The same, and not for the moment: the state service takes no such transaction, perhaps because
     /// its limits are lower than we think.
     Rejected,
@@ -305,6 +307,7 @@
                 Some(Reply::Rejected)
             }
         }
+        (429, Ask::Txn(_)) => Some(Reply::TooFast),
         (503 | 429, _) => Some(Reply::Refused),
         (200, Ask::Txn(_)) => decode::<TxnAnswer>(body).map(|a| Reply::Committed(a.revision)),
         (409, Ask::Txn(_)) => decode::<TxnAnswer>(body).map(|a| Reply::Conflict(a.failed)),
--- a/src/coordination/edits.rs
+++ b/src/coordination/edits.rs
@@ -238,7 +238,7 @@
                 self.on_changed_jobs();
                 self.send_orders(clock);
             }
-            Reply::Refused | Reply::Rejected => {
+            Reply::Refused | Reply::TooFast | Reply::Rejected => {
                 // Certainly not written; it is all found out again.
                 self.end_batch(n);
             }
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -414,9 +414,9 @@
                     }
                 }
                 Reply::Rejected => a.flying = false,
-                Reply::Lost if clock.now < a.since + SUBMIT_PATIENCE => {
+                Reply::Lost | Reply::TooFast if clock.now < a.since + SUBMIT_PATIENCE => {
                     a.flying = false;
-                    a.tried = true;
+                    a.tried |= reply == Reply::Lost;
                     a.again = clock.now + AGAIN;
                 }
                 _ => {
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -174,6 +174,10 @@
     sibling_view: BTreeMap<String, SiblingView>,
     /// Highest term that anybody has shown us; below it we never lead, whatever an old copy says.
     highest: u64,
+    /// Our share of the store's budgets.
+    share: Share,
+    /// When we started.
+    born: Micros,
     /// Version of the record of the lead, and since when we know it.
     lead_seen: (u64, Micros),
     /// When our record of the format we read is looked at again; none: it is being written.
@@ -188,7 +192,8 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let inc = rng.random::<u64>() >> 1;
         let siblings = settings.siblings.len();
-        let (rps, wps) = shares(&settings, false);
+        let share = Share::of(siblings, siblings, false, true);
+        let (rps, wps) = share.rates(&settings);
         let store = Store::new(settings.external.state, rps, wps);
         Node {
             settings,
@@ -221,6 +226,8 @@
             leader_heard: None,
             sibling_view: BTreeMap::new(),
             highest: 0,
+            share,
+            born: clock.now,
             lead_seen: (0, clock.now),
             format_at: Some(clock.now),
             rolled_out: false,
@@ -735,8 +742,7 @@
                 log::info!("leading with term {term}");
                 self.leader = Some(Leader::new(term, version, clock));
                 self.renew_at = clock.now;
-                let (rps, wps) = shares(&self.settings, true);
-                self.store.set_rates(clock.now, rps, wps);
+                self.take_share(clock);
                 self.want_barrier(clock, Waiter::Proof);
             }
             (None, None) => {}
@@ -744,13 +750,31 @@
         self.on_changed_jobs();
     }
 
+    /// Keeps to our share of the store's budgets, which follows from who is heard.
+    fn take_share(&mut self, clock: Clock) {
+        // Nobody has been heard right after a start.
+        let young = clock.now < self.born + LEADER_SILENT;
+        let heard = |node: &str| {
+            let view = self.sibling_view.get(node);
+            young || view.is_some_and(|v| clock.now.since(v.heard) < LEADER_SILENT)
+        };
+        let siblings = &self.settings.siblings;
+        let n = siblings.iter().filter(|x| heard(&x.node)).count();
+        let lead = self.mirror.lead.as_ref();
+        let led = lead.is_none_or(|(l, _)| l.node != self.settings.node && heard(&l.node));
+        let share = Share::of(siblings.len(), n, self.leader.is_some(), led);
+        if share != self.share {
+            self.share = share;
+            let (rps, wps) = share.rates(&self.settings);
+            self.store.set_rates(clock.now, rps, wps);
+        }
+    }
+
     fn stand_down(&mut self, why: &str) {
         if let Some(l) = self.leader.take() {
             log::info!("standing down from term {}: {why}", l.term);
         }
         self.renew_at = Micros::FAR;
-        let (rps, wps) = shares(&self.settings, false);
-        self.store.set_rates(Micros::ZERO, rps, wps);
     }
 
     fn on_time(&mut self, clock: Clock) -> Micros {
@@ -783,6 +807,7 @@
                 next = next.min(self.barrier_at + self.barrier_gap());
             }
         }
+        self.take_share(clock);
         next = next.min(self.formats(clock));
         next = next.min(self.heartbeats(clock));
         next = next.min(self.candidacy(clock));
@@ -1109,19 +1134,56 @@
     }
 }
 
-/// Shares of the store's budgets; all controllers together stay below the limits, with one of
-/// them leading.
-fn shares(s: &Settings, leading: bool) -> (f64, f64) {
-    let others = s.siblings.len() as f64;
-    let small = 0.35 / others.max(1.0);
-    let part = if leading { 0.6 } else { small };
-    let w = if leading {
-        0.66
-    } else {
-        0.32 / others.max(1.0)
-    };
-    let state = &s.params.state;
-    (state.least_rps() * part, state.least_write_rps() * w)
+/// A share of the store's budgets of requests and of changes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Share {
+    requests: f64,
+    changes: f64,
+}
+
+/// All controllers together use this part of the budgets, the leader most of it.
+const ALL: Share = Share {
+    requests: 0.95,
+    changes: 0.98,
+};
+const LEADERS: Share = Share {
+    requests: 0.6,
+    changes: 0.66,
+};
+/// What a follower uses at most of what a silent leader leaves: it may be cut off from us alone.
+const LEADERLESS: f64 = 0.5;
+
+impl Share {
+    /// Of a controller that has `siblings`, of which it hears `heard`. What the silent ones leave is
+    /// used by the others; `led`: the leader is among those heard.
+    fn of(siblings: usize, heard: usize, leading: bool, led: bool) -> Share {
+        let part = |all: f64, leaders: f64| {
+            let followers = siblings.max(1) as f64;
+            let each = (all - leaders) / followers;
+            if siblings == 0 {
+                all
+            } else if leading {
+                leaders + each * (siblings - heard) as f64
+            } else if led {
+                each
+            } else {
+                (all / (heard + 1) as f64).min(LEADERLESS)
+            }
+        };
+        Share {
+            requests: part(ALL.requests, LEADERS.requests),
+            changes: part(ALL.changes, LEADERS.changes),
+        }
+    }
+
+    /// In requests and changes a second.
+    fn rates(&self, s: &Settings) -> (f64, f64) {
+        let state = &s.params.state;
+        (
+            state.least_rps() * self.requests,
+            state.least_write_rps() * self.changes,
+        )
+    }
 }
 
 /// A condition on a key's version.
--- a/src/coordination/renewal.rs
+++ b/src/coordination/renewal.rs
@@ -31,6 +31,9 @@
     /// Start of the last read that showed both records unchanged.
     proof: Micros,
     written: Micros,
+    /// The next write comes this much later, so that users' submissions and a claim of the lead find
+    /// something left of the budget.
+    gap: Micros,
     flying: bool,
     waiting: Vec<(u64, Report)>,
     redirected: BTreeMap<String, Micros>,
@@ -51,6 +54,8 @@
 /// Workers that come one after the other share a record: each write names all machines, and at a
 /// takeover hundreds come within a second or two.
 const WRITE_GAP: Micros = Micros::millis(200);
+/// Part of our budget of changes that goes into that record.
+const WRITE_SHARE: f64 = 0.5;
 /// The record is written anew at this pace, as a sign of life for the leader.
 pub const SIGN_OF_LIFE: Micros = Micros::millis(10_000);
 
@@ -209,7 +214,7 @@
 
     fn write_renewals(&mut self, clock: Clock) {
         let r = &mut self.renewals;
-        if r.flying || clock.now < r.written + WRITE_GAP {
+        if r.flying || clock.now < r.written + r.gap.max(WRITE_GAP) {
             return;
         }
         r.flying = true;
@@ -237,6 +242,8 @@
             conds.push(cond(&key, held.map_or(0, |(_, v)| *v)));
             changes.push(put(&key, rec, None));
         }
+        let rate = self.store.write_rate() * WRITE_SHARE;
+        self.renewals.gap = Micros::secs(changes.len() as f64 / rate);
         self.store.ask(
             Rank::First,
             Tag::Renewals(named),
@@ -352,7 +359,7 @@
         let named = r.machines.len() != before || !r.waiting.is_empty();
         if named || r.machines.len() != r.recorded.len() || sign <= clock.now {
             self.write_renewals(clock);
-            return self.renewals.written + WRITE_GAP;
+            return self.renewals.written + self.renewals.gap.max(WRITE_GAP);
         }
         let out = r.machines.values().map(|t| *t + lease).min();
         out.unwrap_or(Micros::FAR).min(sign)
