--- a/src/bookkeeping/workers.rs
+++ b/src/bookkeeping/workers.rs
@@ -2,7 +2,7 @@
 
 use crate::protocol::Micros;
 use crate::protocol::wire::{Phase, Report, Why};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A task as a worker last reported it.
 #[derive(Debug, Clone, PartialEq)]
@@ -99,6 +99,9 @@
     pub images: Vec<(String, f64)>,
     /// Recent task errors: when, and of which job.
     pub errors: Vec<(Micros, String)>,
+    /// Tasks that have come to run here since the last error. Only these can show that the machine is
+    /// well again: one that fails every new task still completes those that ran before.
+    pub ran_since: BTreeSet<AttemptKey>,
     /// Has no tasks since.
     pub idle_since: Option<Micros>,
 }
@@ -211,6 +214,7 @@
             order_again: Micros::ZERO,
             images: Vec::new(),
             errors: Vec::new(),
+            ran_since: BTreeSet::new(),
             idle_since: None,
         }
     }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -385,9 +385,15 @@
                 w.images.retain(|(i, _)| *i != spec.image);
                 w.images.push((spec.image.clone(), spec.image_gb));
             }
+            let attempt = (id.clone(), task, t.attempt);
+            if phase == Phase::Running && !w.errors.is_empty() {
+                w.ran_since.insert(attempt);
+                continue;
+            }
             if phase != Phase::Exited {
                 continue;
             }
+            let proves = w.ran_since.remove(&attempt);
             if why == Some(Why::Done) && job.active() && !job.is_done(task) {
                 let edit = l.edits.want(&id, clock.now);
                 if spec.kind == Kind::Gang {
@@ -398,7 +404,10 @@
                 }
             }
             if why == Some(Why::Done) {
-                w.errors.clear();
+                if proves {
+                    w.errors.clear();
+                    w.ran_since.clear();
+                }
                 if let Some(t) = l.troubles.get_mut(&id) {
                     t.row = 0;
                 }
@@ -416,6 +425,7 @@
                 if trouble.row > JOBS_FAULT {
                     trouble.again = clock.now + Micros::millis(1000 << trouble.row.min(6));
                 }
+                w.ran_since.clear();
                 if w.errors.iter().all(|(_, j)| *j != id) {
                     w.errors.push((clock.now, id));
                 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -412,6 +412,30 @@
     assert!(w.deleted.contains("n-000001"));
 }
 
+/// What ran there before still completes, one task after the other; that proves nothing.
+#[test]
+fn a_machine_that_fails_what_it_starts_is_not_well_because_old_tasks_complete() {
+    let mut w = settled(16, 2);
+    w.no_capacity = true;
+    for i in 0..10 {
+        w.user(
+            &format!("req-{i}"),
+            job(Kind::Array, 1, 1.0),
+            (20 + 6 * i) * SEC,
+        );
+    }
+    w.run(8);
+    w.workers.get_mut("n-000001").unwrap().errors = true;
+    for i in 20..50 {
+        w.user(&format!("req-{i}"), job(Kind::Array, 1, 1.0), 6 * SEC);
+        w.run(3);
+    }
+    w.run(60);
+    assert!(w.jobs.keys().all(|id| w.job_done(id)));
+    let m = w.workers.get("n-000001");
+    assert!(m.is_none_or(|m| m.failed <= 2), "{:?}", m.map(|m| m.failed));
+}
+
 #[test]
 fn three_hundred_machines_cost_what_happens_on_them() {
     let mut w = World::new(38, 3, 300);
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -31,6 +31,8 @@
     pub report_at: u64,
     pub flying: Option<(u64, u64, u64)>,
     pub errors: bool,
+    /// How many tasks have failed here.
+    pub failed: u32,
 }
 
 impl FakeWorker {
@@ -52,6 +54,7 @@
             report_at: now,
             flying: None,
             errors: false,
+            failed: 0,
         }
     }
 
@@ -93,6 +96,7 @@
         if let Some(t) = self.tasks.get_mut(key) {
             t.phase = Phase::Exited;
             t.why = Some(why);
+            self.failed += u32::from(why == Why::Error);
             t.saved = saved;
             self.report_at = 0;
         }
