--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -86,6 +86,9 @@
 /// What a task's entry in a record takes at most, as JSON, with numbers of some age.
 const ENTRY_BYTES: usize = 30;
 
+/// What the record takes besides description and entries, as JSON.
+const REST_BYTES: usize = 120;
+
 /// What a job's record must have room for besides the description: all tasks of the first chunk that
 /// have to be there together; of an array, so many that it gets on.
 fn room_of_tasks(spec: &Spec) -> usize {
@@ -93,7 +96,7 @@
         Kind::Array => CHUNK / 4,
         Kind::Gang | Kind::Service => CHUNK,
     };
-    spec.tasks.min(most) as usize * ENTRY_BYTES
+    REST_BYTES + spec.tasks.min(most) as usize * ENTRY_BYTES
 }
 
 /// Why a job can never run.
@@ -248,23 +251,34 @@
         match verdict {
             Err(why) => self.refuse(conn, 503, why),
             Ok(Some(why)) => self.refuse(conn, 422, why),
+            Ok(None) if !catch_up && self.too_long(&spec) => {
+                let why = "the description is too long, or awaits names too many jobs";
+                self.refuse(conn, 400, why);
+            }
             Ok(None) if !spec.needs.is_empty() && !self.all_read(PIPELINES) => {
                 // A controller of the first version drops what it does not know from a record.
                 let why = "jobs can wait for jobs once all controllers run this version";
                 self.refuse(conn, 503, why);
             }
             Ok(None) => match self.needs_known(&spec) {
-                Ok(true) => self.accept(clock, conn, id, spec),
-                Ok(false) if catch_up => {
+                Ok(true) if !self.too_long(&spec) => self.accept(clock, conn, id, spec),
+                Ok(_) if catch_up => {
                     let spec = Box::new(spec);
                     self.want_barrier(clock, Waiter::Submit { conn, id, spec });
                 }
-                Ok(false) => self.refuse(conn, 422, "awaits names a job that was never accepted"),
+                Ok(_) => self.refuse(conn, 422, "awaits names a job that was never accepted"),
                 Err(why) => self.refuse(conn, 422, why),
             },
         }
     }
 
+    /// Whether a job's record would not fit into a value. The first version took longer ones: whether
+    /// this job is one of them is looked up before it is refused.
+    fn too_long(&self, spec: &Spec) -> bool {
+        let most = self.settings.params.state.least_value_bytes();
+        json_len(spec) + room_of_tasks(spec) > most
+    }
+
     /// Whether the copy holds all the jobs that a submission needs.
     fn needs_known(&self, spec: &Spec) -> Result<bool, &'static str> {
         let mut all = true;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -826,6 +826,13 @@
         let said: Vec<u16> = w.said.iter().filter(|s| s.1 == id).map(|s| s.2).collect();
         assert_eq!(said, [422; 3], "{id}");
     }
+    // More names than a record can hold are refused whoever they are.
+    let many: Vec<String> = (0..900).map(|n| format!("req-{n:06}")).collect();
+    let many: Vec<&str> = many.iter().map(String::as_str).collect();
+    w.declare("req-6", after(&many, job(Kind::Array, 1, 1.0)), SEC);
+    w.submit_once(0, "req-6");
+    w.run(1);
+    assert!(w.said.iter().any(|s| s.1 == "req-6" && s.2 == 400));
     // Nothing can be looked up while the store is out: no verdict then.
     w.store.outage = true;
     w.run(4);
@@ -989,7 +996,7 @@
 /// which would take the job without what it waits for.
 #[test]
 fn a_pipeline_is_not_handed_on_to_the_old_version() {
-    let mut w = World::all_old(177, 3);
+    let mut w = World::all_old(177, 3, None);
     w.run(8);
     w.crash(1, 2 * SEC);
     w.set_old(1, false);
@@ -1089,7 +1096,12 @@
         [2, 1, 0],
     ];
     for (n, order) in orders.into_iter().enumerate() {
-        let mut w = World::all_old(200 + n as u64, 5);
+        let low = Limits {
+            value_kb: 2.0,
+            txn_ops: 4,
+            write_rps: 20.0,
+        };
+        let mut w = World::all_old(200 + n as u64, 5, Some(low));
         w.run(8);
         w.user("req-1", job(Kind::Array, 130, 0.5), 6 * SEC);
         w.user("req-2", job(Kind::Service, 2, 1.0), 0);
@@ -1131,6 +1143,8 @@
             upgrade(&mut w, order[1]);
             upgrade(&mut w, order[2]);
         }
+        // The state service lowers its limits as soon as the new version is everywhere.
+        w.store.limits = Some(low);
         let last = if n % 2 == 0 { order[0] } else { order[2] };
         assert!(w.jobs[&format!("req-9{last}")].accepted, "{order:?}");
         w.user("req-4", after(&["req-1"], job(Kind::Array, 3, 1.0)), SEC);
@@ -1145,6 +1159,7 @@
         w.run(2);
         assert_eq!(w.told(&format!("req-9{last}")), "cancelled");
         assert_eq!(w.told("req-2"), "running");
+        assert_eq!((w.store.too_large, w.store.too_fast), (0, 0));
     }
 }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -295,8 +295,8 @@
     }
 
     /// All controllers run the first version, from the beginning.
-    pub fn all_old(seed: u64, machines: usize) -> World {
-        let mut w = World::new(seed, 3, machines);
+    pub fn all_old(seed: u64, machines: usize, next: Option<Limits>) -> World {
+        let mut w = World::with_limits(seed, 3, machines, 60.0, next);
         for i in 0..3 {
             w.crash(i, 0);
             w.set_old(i, true);
