--- a/src/coordination/edits.rs
+++ b/src/coordination/edits.rs
@@ -41,6 +41,8 @@
     /// Jobs in batches, with the places on their way. A job is in one batch at a time.
     flying: BTreeMap<String, Vec<Entry>>,
     next_batch: u64,
+    /// The state service has rejected larger transactions than this.
+    most: Option<usize>,
 }
 
 /// Some tasks of a job that are done wait this long for others; the worker keeps the result. A
@@ -161,11 +163,13 @@
     /// changes unless a single job needs more.
     pub fn write_edits(&mut self, clock: Clock, most: usize) {
         let state = &self.settings.params.state;
+        let Some(l) = &mut self.leader else { return };
+        let rejected = l.edits.most.unwrap_or(usize::MAX);
+        let most = most.min(rejected);
         let limits = Limits {
-            ops: state.least_txn_ops(),
+            ops: state.least_txn_ops().min(rejected),
             bytes: state.least_value_bytes(),
         };
-        let Some(l) = &mut self.leader else { return };
         let mut ready: Vec<(Micros, String)> = Vec::new();
         for (id, e) in &l.edits.wanted {
             if !l.edits.flying.contains_key(id)
@@ -238,7 +242,13 @@
                 self.on_changed_jobs();
                 self.send_orders(clock);
             }
-            Reply::Refused | Reply::TooFast | Reply::Rejected => {
+            Reply::Rejected => {
+                if let (Some(l), Ask::Txn(t)) = (&mut self.leader, &ask) {
+                    l.edits.most = Some((t.changes.len() / 2).max(2));
+                }
+                self.end_batch(n);
+            }
+            Reply::Refused | Reply::TooFast => {
                 // Certainly not written; it is all found out again.
                 self.end_batch(n);
             }
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -59,6 +59,8 @@
     since: Micros,
     flying: bool,
     tried: bool,
+    /// The state service has rejected it together with others: they may have been too many.
+    alone: bool,
     again: Micros,
 }
 
@@ -83,11 +85,11 @@
 /// Transactions of acceptance in flight at once.
 const BATCHES: usize = 2;
 
-/// What a task's entry in a record takes at most, as JSON, with numbers of some age.
-const ENTRY_BYTES: usize = 30;
+/// What a task's entry in a record takes, as JSON, with numbers of some age.
+const ENTRY_BYTES: usize = 27;
 
 /// What the record takes besides description and entries, as JSON.
-const REST_BYTES: usize = 120;
+const REST_BYTES: usize = 100;
 
 /// What a job's record must have room for besides the description: all tasks of the first chunk that
 /// have to be there together; of an array, so many that it gets on.
@@ -316,22 +318,13 @@
             end: Micros::ZERO,
             first: Chunk::default(),
         };
-        if json_len(&rec) + room_of_tasks(&rec.spec)
-            > self.settings.params.state.least_value_bytes()
-        {
-            self.refuse(
-                conn,
-                400,
-                "the description is too long, or awaits names too many jobs",
-            );
-            return;
-        }
         let a = Accepting {
             conns: vec![conn],
             rec,
             since: clock.now,
             flying: false,
             tried: false,
+            alone: false,
             again: clock.now,
         };
         self.front.accepting.insert(id.clone(), a);
@@ -356,7 +349,7 @@
             let Some(a) = self.front.accepting.get_mut(id) else {
                 continue;
             };
-            if a.flying || a.again > clock.now {
+            if a.flying || a.again > clock.now || (a.alone && !ids.is_empty()) {
                 continue;
             }
             a.flying = true;
@@ -364,7 +357,7 @@
             changes.push(put(&key, &a.rec, None));
             conds.push(cond(&key, 0));
             ids.push(id.clone());
-            if ids.len() >= most {
+            if ids.len() >= most || a.alone {
                 break;
             }
         }
@@ -419,7 +412,6 @@
                     }
                 }
                 Reply::Conflict(_) => a.flying = false,
-                // Too many at once for the state service: fewer are tried next.
                 Reply::Rejected if alone => {
                     let conns = std::mem::take(&mut a.conns);
                     self.forget_accepting(&id);
@@ -427,7 +419,10 @@
                         self.refuse(conn, 503, "the state service does not take the record");
                     }
                 }
-                Reply::Rejected => a.flying = false,
+                Reply::Rejected => {
+                    a.flying = false;
+                    a.alone = true;
+                }
                 Reply::Lost | Reply::TooFast if clock.now < a.since + SUBMIT_PATIENCE => {
                     a.flying = false;
                     a.tried |= reply == Reply::Lost;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -632,15 +632,21 @@
             }
         } else {
             let view = &self.sibling_view;
-            let back = view.iter().find_map(|(node, v)| {
-                let (recorded, version) = self.mirror.format_of(node);
-                let older = v.went_back.filter(|f| *f < recorded)?;
-                Some((node.clone(), older, version))
-            });
+            let recent = |v: &SiblingView| clock.now.since(v.heard) < LEADER_SILENT;
+            let back = view
+                .iter()
+                .filter(|(_, v)| recent(v))
+                .find_map(|(node, v)| {
+                    let (recorded, version) = self.mirror.format_of(node);
+                    let older = v.went_back.filter(|f| *f < recorded)?;
+                    Some((node.clone(), older, version))
+                });
             let Some((node, older, version)) = back else {
                 return Micros::FAR;
             };
-            log::warn!("{node} has gone back to format {older}");
+            if at <= clock.now {
+                log::warn!("{node} has gone back to format {older}");
+            }
             self.rolled_out = false;
             let key = format_key(&node);
             Txn {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1193,6 +1193,27 @@
 
 const OLD_JOB: &str = "85a173de0012a6646f636b6574ac636f6c6f75722d7377656570a463726577ad706c6174666f726d2d63726577a57368617065a57377656570a472616e6ba87374616e64617264a6736865657473cc82a463707573cb4018000000000000a56361726473cb3ff0000000000000a96d656d6f72795f6762cb4038000000000000a5706c617465a6696d672d3037a773697a655f6762cb4011000000000000a77072657373657391aa6d656e6869722d626f78a8746f676574686572c2a773636174746572c2a76c6f616e657273c3aa65787065637465645f73cb404ec00000000000a770726f6f665f73cb0000000000000000a773746173685f73cb0000000000000000a56475655f73cb406e000000000000a26174cf000644e4f42bb000a27374a161a3656e6400a16382a16591960302a86e2d3030303233310129c3a164cc80";
 
+/// Limits that nobody has announced: smaller transactions are tried, and no job comes to harm.
+#[test]
+fn a_rejected_transaction_is_no_verdict_on_a_job() {
+    let mut w = settled(190, 10);
+    for n in 0..4 {
+        w.user(&format!("req-{n}"), job(Kind::Array, 240, 0.25), 8 * SEC);
+    }
+    w.run(3);
+    w.store.limits = Some(Limits {
+        value_kb: 8.0,
+        txn_ops: 2,
+        write_rps: 60.0,
+    });
+    for n in 10..40 {
+        w.user(&format!("req-{n}"), job(Kind::Array, 1, 0.25), SEC);
+    }
+    w.run(120);
+    assert!(w.store.too_large > 0);
+    assert!(w.jobs.keys().all(|id| w.job_done(id)));
+}
+
 /// The leader loses its network, its successor crashes soon after, and the third is left alone: what
 /// runs goes on, what waits for it starts, and nothing runs twice.
 #[test]
