--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -254,7 +254,8 @@
             Err(why) => self.refuse(conn, 503, why),
             Ok(Some(why)) => self.refuse(conn, 422, why),
             Ok(None) if !catch_up && self.too_long(&spec) => {
-                let why = "the description is too long, or awaits names too many jobs";
+                let why = "the job fits into no record: its description or awaits is too long, \
+                           or the gang is too wide";
                 self.refuse(conn, 400, why);
             }
             Ok(None) if !spec.needs.is_empty() && !self.all_read(PIPELINES) => {
@@ -277,8 +278,11 @@
     /// Whether a job's record would not fit into a value. The first version took longer ones: whether
     /// this job is one of them is looked up before it is refused.
     fn too_long(&self, spec: &Spec) -> bool {
-        let most = self.settings.params.state.least_value_bytes();
-        json_len(spec) + room_of_tasks(spec) > most
+        let state = &self.settings.params.state;
+        // A gang's places go into one transaction.
+        let wide =
+            spec.kind == Kind::Gang && spec.tasks.div_ceil(CHUNK) as usize > state.least_txn_ops();
+        wide || json_len(spec) + room_of_tasks(spec) > state.least_value_bytes()
     }
 
     /// Whether the copy holds all the jobs that a submission needs.
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -251,6 +251,21 @@
     );
 }
 
+#[test]
+fn the_example_of_a_pipeline_is_taken() {
+    let text = include_str!("../examples/pipeline.json");
+    let jobs: Vec<rmpv::Value> = serde_json::from_str(text).unwrap();
+    let mut met = Vec::new();
+    for j in jobs {
+        let mut body = Vec::new();
+        rmpv::encode::write_value(&mut body, &j).unwrap();
+        let (id, spec) = parse(&body).unwrap();
+        assert!(spec.needs.iter().all(|n| met.contains(n)), "{id}");
+        met.push(id);
+    }
+    assert_eq!(met.len(), 5);
+}
+
 #[test]
 fn users_are_answered_over_real_sockets() {
     let addr = controller();
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1193,6 +1193,28 @@
 
 const OLD_JOB: &str = "85a173de0012a6646f636b6574ac636f6c6f75722d7377656570a463726577ad706c6174666f726d2d63726577a57368617065a57377656570a472616e6ba87374616e64617264a6736865657473cc82a463707573cb4018000000000000a56361726473cb3ff0000000000000a96d656d6f72795f6762cb4038000000000000a5706c617465a6696d672d3037a773697a655f6762cb4011000000000000a77072657373657391aa6d656e6869722d626f78a8746f676574686572c2a773636174746572c2a76c6f616e657273c3aa65787065637465645f73cb404ec00000000000a770726f6f665f73cb0000000000000000a773746173685f73cb0000000000000000a56475655f73cb406e000000000000a26174cf000644e4f42bb000a27374a161a3656e6400a16382a16591960302a86e2d3030303233310129c3a164cc80";
 
+/// A gang over several records is placed by one transaction, or its members would start without the
+/// others; one that no transaction can place is refused.
+#[test]
+fn a_wide_gang_is_placed_as_a_whole_under_lower_limits() {
+    let low = Limits {
+        value_kb: 2.0,
+        txn_ops: 3,
+        write_rps: 30.0,
+    };
+    let mut w = World::with_limits(195, 3, 6, 60.0, Some(low));
+    w.store.limits = Some(low);
+    w.run(8);
+    w.user("req-1", job(Kind::Gang, 130, 0.125), 6 * SEC);
+    w.declare("req-2", job(Kind::Gang, 145, 0.125), SEC);
+    w.submit_once(1, "req-2");
+    w.run(40);
+    assert!(w.job_done("req-1"));
+    assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
+    assert!(w.said.iter().any(|s| s.1 == "req-2" && s.2 == 400));
+    assert_eq!(w.store.too_large, 0);
+}
+
 /// Limits that nobody has announced: smaller transactions are tried, and no job comes to harm.
 #[test]
 fn a_rejected_transaction_is_no_verdict_on_a_job() {
