--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -445,6 +445,7 @@
                 total,
                 free: total,
                 open: true,
+                fetching: 0,
                 images: Vec::new(),
                 reserved: None,
             })
