--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -445,7 +445,6 @@
                 total,
                 free: total,
                 open: true,
-                fetching: 0,
                 images: Vec::new(),
                 reserved: None,
             })
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -89,7 +89,6 @@
                 total,
                 free: total,
                 open,
-                fetching: 0,
                 images: w.images.iter().map(|(i, _)| names.id(i)).collect(),
                 reserved: self
                     .reserved
@@ -160,7 +159,6 @@
                     host.take(&shape.need);
                     if !host.images.contains(&shape.image) {
                         host.images.push(shape.image);
-                        host.fetching += 1;
                     }
                     // A machine that the cloud is about to take: what can save does so now,
                     // a gang as a whole.
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -92,8 +92,6 @@
     pub free: Amounts,
     /// Takes new tasks now.
     pub open: bool,
-    /// How many images it fetches: they share its rate.
-    pub fetching: u32,
     /// Images it has or fetches.
     pub images: Vec<u32>,
     /// Room is being made on it for this job; others keep off.
@@ -168,7 +166,6 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Rank {
     image: bool,
-    quiet: bool,
     weight: f64,
     host: usize,
 }
@@ -178,7 +175,6 @@
 impl Ord for Rank {
     fn cmp(&self, o: &Rank) -> Ordering {
         (self.image.cmp(&o.image))
-            .then(self.quiet.cmp(&o.quiet))
             .then(self.weight.total_cmp(&o.weight))
             .then(o.host.cmp(&self.host))
     }
@@ -195,7 +191,6 @@
     let l = slots(&h.total, &shape.need) as f64;
     Rank {
         image: h.images.contains(&shape.image),
-        quiet: h.fetching == 0,
         weight: weight(a, l, ratio),
         host,
     }
@@ -369,7 +364,6 @@
                     free: [64.0, rng.random_range(0..9) as f64, 256.0],
                     open: rng.random_bool(0.9),
                     images: (20..24).filter(|_| rng.random_bool(0.4)).collect(),
-                    fetching: 0,
                     reserved: rng.random_bool(0.1).then(|| "other".to_string()),
                 })
                 .collect();
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -121,7 +121,6 @@
     }
     if !host.images.contains(&item.shape.image) {
         host.images.push(item.shape.image);
-        host.fetching += 1;
     }
 }
 
