--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -93,11 +93,11 @@
 
 impl<T> Store<T> {
     /// For the state service at `addr`.
-    pub fn new(addr: SocketAddr, rps: f64, wps: f64) -> Store<T> {
+    pub fn new(addr: SocketAddr, rps: f64, wps: f64, write_burst: f64) -> Store<T> {
         Store {
             addr,
             requests: Pace::new(rps, rps * 0.5),
-            writes: Pace::new(wps, wps),
+            writes: Pace::new(wps, write_burst),
             queues: [VecDeque::new(), VecDeque::new(), VecDeque::new()],
             flying: BTreeMap::new(),
             failing: 0,
@@ -105,9 +105,9 @@
     }
 
     /// Changes our share of the budgets.
-    pub fn set_rates(&mut self, now: Micros, rps: f64, wps: f64) {
+    pub fn set_rates(&mut self, now: Micros, rps: f64, wps: f64, write_burst: f64) {
         self.requests.set(now, rps, rps * 0.5);
-        self.writes.set(now, wps, wps);
+        self.writes.set(now, wps, write_burst);
     }
 
     /// Our share of the budget of changes, a second.
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -193,8 +193,8 @@
         let inc = rng.random::<u64>() >> 1;
         let siblings = settings.siblings.len();
         let share = Share::of(siblings, siblings, false, true);
-        let (rps, wps) = share.rates(&settings);
-        let store = Store::new(settings.external.state, rps, wps);
+        let (rps, wps, burst) = share.rates(&settings);
+        let store = Store::new(settings.external.state, rps, wps, burst);
         Node {
             settings,
             policy,
@@ -771,8 +771,8 @@
         let share = Share::of(siblings.len(), n, self.leader.is_some(), led);
         if share != self.share {
             self.share = share;
-            let (rps, wps) = share.rates(&self.settings);
-            self.store.set_rates(clock.now, rps, wps);
+            let (rps, wps, burst) = share.rates(&self.settings);
+            self.store.set_rates(clock.now, rps, wps, burst);
         }
     }
 
@@ -1158,6 +1158,8 @@
     requests: 0.6,
     changes: 0.66,
 };
+/// A controller sends at least this part of a second's changes at once.
+const BURST: f64 = 0.33;
 /// What a follower uses at most of what a silent leader leaves: it may be cut off from us alone.
 const LEADERLESS: f64 = 0.5;
 
@@ -1184,13 +1186,15 @@
         }
     }
 
-    /// In requests and changes a second.
-    fn rates(&self, s: &Settings) -> (f64, f64) {
+    /// In requests and changes a second, and how many changes may go at once.
+    fn rates(&self, s: &Settings) -> (f64, f64, f64) {
         let state = &s.params.state;
-        (
-            state.least_rps() * self.requests,
-            state.least_write_rps() * self.changes,
-        )
+        let all = state.least_write_rps();
+        let changes = all * self.changes;
+        // The state service takes a second's worth at once. A follower's part of it need not be as
+        // small as its share: a burst of submissions comes to one controller at a time.
+        let burst = changes.max(all * BURST);
+        (state.least_rps() * self.requests, changes, burst)
     }
 }
 
