--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -1045,15 +1045,11 @@
             return false;
         };
         let two_vain = (VAIN_TRY + VAIN_TRY).as_secs() + w.report_s * LATEST_REPORT;
-        // One that has lost its network must not keep the others from this.
-        let well = |node: &str| {
-            let view = self.sibling_view.get(node);
-            view.is_some_and(|v| v.served && clock.now.since(v.heard) < LEADER_SILENT)
-        };
+        let calm = |v: &SiblingView| v.served && clock.now.since(v.heard) < LEADER_SILENT;
         let first = s
             .siblings
             .iter()
-            .all(|x| x.node > s.node || !self.next_is_elsewhere(&x.node) || !well(&x.node));
+            .all(|x| x.node > s.node || !self.next_is_elsewhere(&x.node));
         lead.node != s.node
             && self.mirror.live.is_some()
             && two_vain > w.lease_s
@@ -1062,7 +1058,9 @@
             && first
             && clock.now.since(self.lead_seen.1) >= CALM
             && self.served()
-            && well(&lead.node)
+            && s.siblings
+                .iter()
+                .all(|x| self.sibling_view.get(&x.node).is_some_and(calm))
     }
 
     fn candidacy(&mut self, clock: Clock) -> Micros {
