A new leader knows from the records which images machines hold

Cause: a leader knew the images of a machine only from tasks that it had seen running there.

Change: bookkeeping/images.rs follows every placement on record, on every controller, with the size of the cache.

--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -1,5 +1,6 @@
 //! A copy of our records in the state service, fed by listings, watches and own commits.
 
+use super::images::Images;
 use crate::protocol::records::{
     BASE, CHUNK, CHUNKS, Chunk, Entry, FORMATS, JOBS, JobRec, LEAD, LIVE, LeadRec, RENEWALS,
     RenewRec, Stage, TYPES, renew_key,
@@ -109,6 +110,8 @@
     pub types: Option<Vec<MachineType>>,
     /// How many machines were up before we rented any, once that has been seen.
     pub base: Option<u64>,
+    /// Which images machines probably hold, from the places on record.
+    pub images: Images,
     /// Jobs that matter.
     pub jobs: BTreeMap<String, Job>,
     /// What followers renew, by node, with the record's version.
@@ -181,8 +184,9 @@
         self.placed.get(machine).into_iter().flatten()
     }
 
-    /// Brings the index by machine from a chunk's old entries to its new ones.
-    fn relink(&mut self, id: &str, old: &[Entry], new: &[Entry]) {
+    /// Brings the index by machine from a chunk's old entries to its new ones. `image`: of the job,
+    /// if it is known yet.
+    fn relink(&mut self, id: &str, old: &[Entry], new: &[Entry], image: Option<(&str, f64)>) {
         let at = |list: &[Entry], e: &Entry| {
             list.binary_search_by_key(&e.task(), Entry::task)
                 .is_ok_and(|i| list[i].machine() == e.machine())
@@ -204,6 +208,9 @@
             {
                 let set = self.placed.entry(m.to_string()).or_default();
                 set.insert((id.to_string(), e.task()));
+                if let Some((image, gb)) = image {
+                    self.images.used(m, image, gb);
+                }
             }
         }
     }
@@ -336,7 +343,12 @@
             Some(j) => (j.rec.first.entries, j.chunks),
             None => (Vec::new(), BTreeMap::new()),
         };
-        self.relink(id, &old, &rec.first.entries);
+        self.relink(
+            id,
+            &old,
+            &rec.first.entries,
+            Some((&rec.spec.image, rec.spec.image_gb)),
+        );
         if let Some(o) = self.orphans.remove(id) {
             chunks.extend(o);
         }
@@ -364,7 +376,10 @@
             let new = chunk.entries.clone();
             let old = chunks.insert(n, (chunk, version));
             let old = old.map(|(c, _)| c.entries).unwrap_or_default();
-            self.relink(id, &old, &new);
+            let spec = self.jobs.get(id).map(|j| &j.rec.spec);
+            let image = spec.map(|s| (s.image.clone(), s.image_gb));
+            let image = image.as_ref().map(|(i, gb)| (i.as_str(), *gb));
+            self.relink(id, &old, &new, image);
         }
         if let Some(job) = self.jobs.remove(id) {
             self.keep(id, job);
@@ -464,9 +479,9 @@
             && self.jobs.get(id).is_some_and(|j| j.version < version)
             && let Some(job) = self.jobs.remove(id)
         {
-            self.relink(id, &job.rec.first.entries, &[]);
+            self.relink(id, &job.rec.first.entries, &[], None);
             for (c, _) in job.chunks.values() {
-                self.relink(id, &c.entries, &[]);
+                self.relink(id, &c.entries, &[], None);
             }
             self.changed.insert(id.to_string());
         }
--- a/src/bookkeeping/workers.rs
+++ b/src/bookkeeping/workers.rs
@@ -95,8 +95,6 @@
     pub ordering: bool,
     /// Direct commands are not tried before this.
     pub order_again: Micros,
-    /// Images it has, newest last.
-    pub images: Vec<(String, f64)>,
     /// Recent task errors: when, and of which job.
     pub errors: Vec<(Micros, String)>,
     /// Tasks that have come to run here since the last error. Only these can show that the machine is
@@ -212,7 +210,6 @@
             stops: BTreeMap::new(),
             ordering: false,
             order_again: Micros::ZERO,
-            images: Vec::new(),
             errors: Vec::new(),
             ran_since: BTreeSet::new(),
             idle_since: None,
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -382,8 +382,7 @@
             );
             let (id, task, phase, why) = (t.job.clone(), t.task, t.phase, t.why);
             if matches!(phase, Phase::Running | Phase::Waiting) {
-                w.images.retain(|(i, _)| *i != spec.image);
-                w.images.push((spec.image.clone(), spec.image_gb));
+                self.mirror.images.used(name, &spec.image, spec.image_gb);
             }
             let attempt = (id.clone(), task, t.attempt);
             if phase == Phase::Running && !w.errors.is_empty() {
@@ -393,6 +392,18 @@
             if phase != Phase::Exited {
                 continue;
             }
+            let fetching = |o: &&Seen| {
+                (o.task, o.attempt, o.phase) == (task, attempt.2, Phase::Fetching) && o.job == id
+            };
+            if old.iter().any(|o| fetching(&o)) && why != Some(Why::Done) {
+                let alone = w.tasks.iter().all(|t| {
+                    let job = self.mirror.jobs.get(&t.job);
+                    t.phase == Phase::Exited || job.is_none_or(|j| j.rec.spec.image != spec.image)
+                });
+                if alone {
+                    self.mirror.images.given_up(name, &spec.image);
+                }
+            }
             let proves = w.ran_since.remove(&attempt);
             if why == Some(Why::Done) && job.active() && !job.is_done(task) {
                 let edit = l.edits.want(&id, clock.now);
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -89,7 +89,11 @@
                 total,
                 free: total,
                 open,
-                images: w.images.iter().map(|(i, _)| names.id(i)).collect(),
+                images: mirror
+                    .images
+                    .of(name, t.cache_gb)
+                    .map(|i| names.id(i))
+                    .collect(),
                 reserved: self
                     .reserved
                     .get(name)
