--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -189,6 +189,7 @@
                         let order = self.order_of.get(id).and_then(|o| o.get(&e.task()));
                         victims.push(Victim {
                             job: id,
+                            at: job.rec.at,
                             task: e.task(),
                             host: h,
                             need: shape.need,
@@ -261,6 +262,7 @@
         }
         Some(Item {
             id,
+            at: job.rec.at,
             spec,
             shape,
             tasks,
@@ -312,7 +314,7 @@
             room.insert(t.name.clone(), [most(t.cpus_max), most(t.gpus_max)]);
         }
         let mut victims: Vec<Victim<'_>> = Vec::new();
-        let mut items: Vec<(Micros, Item<'_>)> = Vec::new();
+        let mut items: Vec<Item<'_>> = Vec::new();
         let mut found = Findings::default();
         let within = guaranteed(&self.settings, &self.mirror);
         let lifted = Lifted::new(&self.mirror);
@@ -329,11 +331,10 @@
                 lifted.of(id, job),
                 clock,
             );
-            items.extend(item.map(|i| (job.rec.at, i)));
+            items.extend(item);
         }
         l.unrecorded(&self.mirror, &mut hosts);
-        items.sort_by(|a, b| (a.0, a.1.id).cmp(&(b.0, b.1.id)));
-        let items: Vec<Item<'_>> = items.into_iter().map(|(_, i)| i).collect();
+        items.sort_by_key(|i| (i.at, i.id));
         for h in &mut hosts.list {
             if h.reserved
                 .as_ref()
