--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -698,7 +698,13 @@
                 if !fits || refused.contains_key(&key) {
                     continue;
                 }
-                let price = if spot { t.price * 1.01 } else { t.price } / n as f64;
+                // What saves loses little when its machine is taken; the rest takes spot machines only
+                // where no others are to be had.
+                let price = match spot {
+                    true if spec.checkpoint_s > 0.0 => t.spot_price,
+                    true => t.price * 1.01,
+                    false => t.price,
+                } / n as f64;
                 let here = if spec.one_zone && spec.tasks > 1 {
                     0
                 } else {
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -52,6 +52,8 @@
     pub zone: Option<u32>,
     /// May use spot machines.
     pub spot: bool,
+    /// Saves by itself, so that little is lost on a machine that is taken.
+    pub saves: bool,
     /// Its image.
     pub image: u32,
     /// Machines on which it has failed.
@@ -69,6 +71,7 @@
                 .map(|t| t.iter().map(|k| names.id(k)).collect()),
             zone: spec.zone.as_ref().map(|z| names.id(z)),
             spot: spec.spot,
+            saves: spec.checkpoint_s > 0.0,
             image: names.id(&spec.image),
             avoid: Vec::new(),
         }
@@ -165,6 +168,7 @@
 /// weight decide, and among equals the first.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Rank {
+    spot: bool,
     image: bool,
     weight: f64,
     host: usize,
@@ -174,7 +178,8 @@
 
 impl Ord for Rank {
     fn cmp(&self, o: &Rank) -> Ordering {
-        (self.image.cmp(&o.image))
+        (self.spot.cmp(&o.spot))
+            .then(self.image.cmp(&o.image))
             .then(self.weight.total_cmp(&o.weight))
             .then(o.host.cmp(&self.host))
     }
@@ -190,6 +195,7 @@
     let a = slots(&h.free, &shape.need) as f64;
     let l = slots(&h.total, &shape.need) as f64;
     Rank {
+        spot: h.spot && shape.saves,
         image: h.images.contains(&shape.image),
         weight: weight(a, l, ratio),
         host,
@@ -372,6 +378,7 @@
                 kinds: rng.random_bool(0.3).then(|| vec![1]),
                 zone: rng.random_bool(0.2).then_some(10),
                 spot: rng.random_bool(0.5),
+                saves: rng.random_bool(0.5),
                 image: 21,
                 avoid: Vec::new(),
             };
