--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -140,7 +140,6 @@
     let mut plan = Plan::default();
     let mut blocked = false;
     let mut later: Vec<&Item<'_>> = Vec::new();
-    let mut top: Option<&Item<'_>> = None;
     let typical = hosts.first().map_or([1.0; 3], |h| h.total);
     let demand = |i: &Item<'_>| i.spec.tasks as f64 * placement::size(&typical, &i.shape.need);
     let mut tries = MAKE_WAY;
@@ -168,13 +167,7 @@
         if presses && plan.places.len() == before && tries > 0 {
             tries -= usize::from(make_way(item, hosts, victims, !blocked, &mut plan));
         }
-        if item.spec.kind != Kind::Service && !blocked {
-            blocked = true;
-            top = Some(item);
-        }
-    }
-    if let Some(top) = top.filter(|t| t.spec.kind == Kind::Gang) {
-        gather(top, hosts);
+        blocked |= item.spec.kind != Kind::Service;
     }
     later.sort_by(|a, b| a.estimate_s.total_cmp(&b.estimate_s));
     for item in later {
@@ -253,38 +246,6 @@
     0
 }
 
-/// Keeps what room there is in one zone for the blocked gang at the top: what is backfilled there
-/// would be stopped for it as soon as the rest of its room is free, having fetched its image in vain.
-fn gather(item: &Item<'_>, hosts: &mut [Host]) {
-    let n = item.tasks.len() as u32;
-    let room = |h: &Host| slots(&h.free, &item.shape.need);
-    let mut zones: BTreeMap<u32, u32> = BTreeMap::new();
-    let mut fit: Vec<usize> = Vec::new();
-    for (i, h) in hosts.iter().enumerate() {
-        if placement::may_take(h, item.id, &item.shape) && !item.shape.avoid.contains(&i) {
-            *zones.entry(h.zone).or_default() += room(h);
-            fit.push(i);
-        }
-    }
-    let Some((zone, _)) = zones
-        .iter()
-        .max_by_key(|(z, k)| (**k, std::cmp::Reverse(**z)))
-    else {
-        return;
-    };
-    let image = |i: usize| hosts[i].images.contains(&item.shape.image);
-    fit.retain(|i| hosts[*i].zone == *zone);
-    fit.sort_by_key(|i| !image(*i));
-    let mut kept = 0;
-    for i in fit {
-        if kept >= n {
-            break;
-        }
-        kept += room(&hosts[i]);
-        hosts[i].reserved = Some(item.id.to_string());
-    }
-}
-
 /// If a blocked job fits once others are gone, stops those on its room, latest first: what was
 /// backfilled, for the job at the top; what has a lower priority, if it can save or makes room for
 /// replicas; and what other teams run beyond their guarantees, for a job within its own. The
