--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -189,7 +189,6 @@
                         let order = self.order_of.get(id).and_then(|o| o.get(&e.task()));
                         victims.push(Victim {
                             job: id,
-                            at: job.rec.at,
                             task: e.task(),
                             host: h,
                             need: shape.need,
@@ -262,7 +261,6 @@
         }
         Some(Item {
             id,
-            at: job.rec.at,
             spec,
             shape,
             tasks,
@@ -314,7 +312,7 @@
             room.insert(t.name.clone(), [most(t.cpus_max), most(t.gpus_max)]);
         }
         let mut victims: Vec<Victim<'_>> = Vec::new();
-        let mut items: Vec<Item<'_>> = Vec::new();
+        let mut items: Vec<(Micros, Item<'_>)> = Vec::new();
         let mut found = Findings::default();
         let within = guaranteed(&self.settings, &self.mirror);
         let lifted = Lifted::new(&self.mirror);
@@ -331,10 +329,11 @@
                 lifted.of(id, job),
                 clock,
             );
-            items.extend(item);
+            items.extend(item.map(|i| (job.rec.at, i)));
         }
         l.unrecorded(&self.mirror, &mut hosts);
-        items.sort_by_key(|i| (i.at, i.id));
+        items.sort_by(|a, b| (a.0, a.1.id).cmp(&(b.0, b.1.id)));
+        let items: Vec<Item<'_>> = items.into_iter().map(|(_, i)| i).collect();
         for h in &mut hosts.list {
             if h.reserved
                 .as_ref()
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -1,7 +1,7 @@
 //! One pass of BgMBFSDF over the arrival-ordered queue (the paper's algorithm 2).
 
 use super::placement::{self, Amounts, Host, Picker, Shape, slots};
-use crate::protocol::{Kind, Micros, Priority, Spec};
+use crate::protocol::{Kind, Priority, Spec};
 use std::collections::BTreeMap;
 
 /// A job with tasks to start.
@@ -9,8 +9,6 @@
 pub struct Item<'a> {
     /// Job id.
     pub id: &'a str,
-    /// When it was accepted.
-    pub at: Micros,
     /// The job.
     pub spec: &'a Spec,
     /// The same, in numbers.
@@ -34,8 +32,6 @@
 pub struct Victim<'a> {
     /// Job.
     pub job: &'a str,
-    /// When that was accepted.
-    pub at: Micros,
     /// Task.
     pub task: u32,
     /// Index of its machine.
@@ -270,11 +266,9 @@
         // lose little; by gangs, which stop as a whole, when nothing else has helped.
         let surplus = v.surplus && v.team != item.spec.team && (v.single || item.overdue);
         let owed = item.guaranteed && surplus;
-        // Whom it had overtaken may have started since: one that came before us has not overtaken us.
-        let overtook = v.backfilled && v.at > item.at;
         hosts[v.host].reserved.is_none()
             && plan.reserved.iter().all(|(h, _)| *h != v.host)
-            && ((top && gang && overtook) || lower || owed)
+            && ((top && gang && v.backfilled) || lower || owed)
     };
     let victims: Vec<&Victim<'_>> = victims.iter().filter(may).collect();
     if victims.is_empty() {
