Places of many jobs are written in one record

Cause: a job's record is one change of the store, which takes 60 a second (armor-fleet).

Change: format 3. A leader decides nothing before its copy holds all that earlier leaders wrote; a cancellation is conditional on the newest bundle. Written only once all controllers read format 3.

--- /dev/null
+++ b/src/bookkeeping/bundles.rs
@@ -0,0 +1,175 @@
+//! Bundles as they are in the store: places of many jobs in one record, laid over what the jobs' own
+//! records say. See `records::Bundle` for which of the two counts.
+
+use crate::protocol::records::{Bundle, CHUNK, Chunk, Entry};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// All bundles.
+#[derive(Debug, Default)]
+pub struct Bundles {
+    all: BTreeMap<u32, (Bundle, u64)>,
+    /// Bundles that name a job.
+    of: HashMap<String, BTreeSet<u32>>,
+    head: u64,
+}
+
+impl Bundles {
+    /// Version of the record that changes with every bundle; 0: none was ever written.
+    pub fn head(&self) -> u64 {
+        self.head
+    }
+
+    /// A bundle has been written.
+    pub fn moved(&mut self, version: u64) {
+        self.head = self.head.max(version);
+    }
+
+    /// No bundle is there.
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// Version of a bundle, 0: there is none.
+    pub fn version(&self, n: u32) -> u64 {
+        self.all.get(&n).map_or(0, |(_, v)| *v)
+    }
+
+    /// Numbers of all bundles, with their versions.
+    pub fn numbers(&self) -> impl Iterator<Item = (u32, u64)> {
+        self.all.iter().map(|(n, (_, v))| (*n, *v))
+    }
+
+    /// Jobs that a bundle names, with their places.
+    pub fn places(&self, n: u32) -> &[(String, Vec<Entry>)] {
+        self.all.get(&n).map_or(&[], |(b, _)| &b.places)
+    }
+
+    /// Whether any bundle names the job.
+    pub fn name(&self, id: &str) -> bool {
+        self.of.contains_key(id)
+    }
+
+    /// All places of a job.
+    fn rows<'a>(&'a self, id: &'a str) -> impl Iterator<Item = &'a Entry> {
+        let numbers = self.of.get(id).into_iter().flatten();
+        numbers
+            .flat_map(|n| self.places(*n))
+            .filter(move |(job, _)| job == id)
+            .flat_map(|(_, places)| places)
+    }
+
+    /// Chunks of a job that its places are in.
+    pub fn chunks(&self, id: &str) -> BTreeSet<u32> {
+        self.rows(id).map(|e| e.task() / CHUNK).collect()
+    }
+
+    /// The lowest number that no bundle and none of these has.
+    pub fn free(&self, taken: &BTreeSet<u32>) -> u32 {
+        let used = |n: &u32| self.all.contains_key(n) || taken.contains(n);
+        (0..).find(|n| !used(n)).unwrap_or(u32::MAX)
+    }
+
+    /// Keeps a bundle; false if it is no newer than the one held.
+    pub fn put(&mut self, n: u32, bundle: Bundle, version: u64) -> bool {
+        if self.version(n) >= version {
+            return false;
+        }
+        self.forget(n);
+        for (id, _) in &bundle.places {
+            self.of.entry(id.clone()).or_default().insert(n);
+        }
+        self.all.insert(n, (bundle, version));
+        true
+    }
+
+    /// A bundle has been deleted at this revision.
+    pub fn delete(&mut self, n: u32, version: u64) {
+        if self.version(n) < version {
+            self.forget(n);
+        }
+    }
+
+    fn forget(&mut self, n: u32) {
+        for (id, _) in self.all.remove(&n).into_iter().flat_map(|(b, _)| b.places) {
+            if let Some(set) = self.of.get_mut(&id) {
+                set.remove(&n);
+                if set.is_empty() {
+                    self.of.remove(&id);
+                }
+            }
+        }
+    }
+
+    /// Lays a job's places over a chunk as its own record has it, and notes in `counting` which of
+    /// them count.
+    pub fn lay(&self, id: &str, n: u32, chunk: &mut Chunk, counting: &mut Vec<Entry>) {
+        counting.retain(|e| e.task() / CHUNK != n);
+        for e in self.rows(id).filter(|e| e.task() / CHUNK == n) {
+            lay_one(chunk, e, counting);
+        }
+    }
+}
+
+/// Lays one place over a chunk; tells whether it counts.
+pub fn lay_one(chunk: &mut Chunk, e: &Entry, counting: &mut Vec<Entry>) -> bool {
+    let held = chunk.entry(e.task());
+    if chunk.is_done(e.task()) || held.is_some_and(|h| h.attempt() >= e.attempt()) {
+        return false;
+    }
+    chunk.set(e.clone());
+    counting.retain(|c| c.task() != e.task());
+    counting.push(e.clone());
+    true
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(task: u32, attempt: u64) -> Entry {
+        Entry(task, attempt, format!("n-{attempt}"), 1, 1, false)
+    }
+
+    fn bundle(job: &str, places: Vec<Entry>) -> Bundle {
+        Bundle {
+            places: vec![(job.to_string(), places)],
+        }
+    }
+
+    #[test]
+    fn the_later_attempt_counts_and_what_is_done_does_not() {
+        let mut b = Bundles::default();
+        b.put(
+            0,
+            bundle("j", vec![entry(0, 2), entry(1, 2), entry(3, 1)]),
+            5,
+        );
+        b.put(1, bundle("j", vec![entry(0, 3), entry(50, 1)]), 6);
+        let mut chunk = Chunk::default();
+        chunk.set(entry(0, 1));
+        chunk.set(entry(1, 4));
+        chunk.finish(3);
+        let mut counting = Vec::new();
+        b.lay("j", 0, &mut chunk, &mut counting);
+        assert_eq!(chunk.entries, [entry(0, 3), entry(1, 4)]);
+        assert_eq!(counting, [entry(0, 3)]);
+        assert_eq!(b.chunks("j"), BTreeSet::from([0, 1]));
+        // Once the job's own record holds the place, it no longer counts.
+        b.lay("j", 0, &mut chunk, &mut counting);
+        assert!(counting.is_empty());
+    }
+
+    #[test]
+    fn older_bundles_change_nothing_and_numbers_are_used_again() {
+        let mut b = Bundles::default();
+        assert!(b.put(0, bundle("j", vec![entry(0, 1)]), 5));
+        assert!(!b.put(0, bundle("k", vec![entry(0, 1)]), 4));
+        assert!(b.name("j") && !b.name("k"));
+        assert_eq!(b.free(&BTreeSet::from([1])), 2);
+        b.delete(0, 4);
+        assert!(b.name("j"));
+        b.delete(0, 6);
+        assert!(b.is_empty() && !b.name("j"));
+        assert_eq!(b.free(&BTreeSet::new()), 0);
+    }
+}
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -1,9 +1,10 @@
 //! A copy of our records in the state service, fed by listings, watches and own commits.
 
+use super::bundles::{Bundles, lay_one};
 use super::images::Images;
 use crate::protocol::records::{
-    BASE, CHUNK, CHUNKS, Chunk, Entry, FORMATS, JOBS, JobRec, LEAD, LIVE, LeadRec, RENEWALS,
-    RenewRec, Stage, TYPES, renew_key,
+    BASE, BUNDLED, BUNDLES, Bundle, CHUNK, CHUNKS, Chunk, Entry, FORMATS, JOBS, JobRec, LEAD, LIVE,
+    LeadRec, RENEWALS, RenewRec, Stage, TYPES, bundle_key, renew_key,
 };
 use crate::protocol::wire::{ItemPage, MachineType, MachineTypes, WatchAnswer, from_value};
 use crate::protocol::{Kind, Micros, format};
@@ -25,6 +26,8 @@
     /// Time of day from which its aims count: when the last job that it needs was done, or when it
     /// was accepted. Without meaning while it waits for others.
     pub released: Micros,
+    /// Places in record and chunks that only bundles hold.
+    pub bundled: Vec<Entry>,
 }
 
 impl Job {
@@ -112,6 +115,8 @@
     pub base: Option<u64>,
     /// Which images machines probably hold, from the places on record.
     pub images: Images,
+    /// Places of many jobs in one record each; they are laid over `jobs`.
+    pub bundles: Bundles,
     /// Jobs that matter.
     pub jobs: BTreeMap<String, Job>,
     /// What followers renew, by node, with the record's version.
@@ -252,6 +257,7 @@
                 .map(|id| format!("{JOBS}{id}"))
                 .chain(self.renewals.keys().map(|n| format!("{RENEWALS}{n}")))
                 .chain(self.formats.keys().map(|n| format!("{FORMATS}{n}")))
+                .chain(self.bundles.numbers().map(|(n, _)| bundle_key(n)))
                 .chain([LEAD.to_string(), LIVE.to_string()])
                 .filter(|k| !met.contains(k))
                 .collect();
@@ -295,6 +301,13 @@
             {
                 self.formats.insert(node.to_string(), (n, version));
             }
+        } else if key == BUNDLED {
+            self.bundles.moved(version);
+        } else if let Some(n) = key.strip_prefix(BUNDLES) {
+            match (n.parse::<u32>(), from_value::<Bundle>(&value)) {
+                (Ok(n), Some(b)) => self.put_bundle(n, b, version),
+                _ => log::error!("mirror: the bundle {key} cannot be read"),
+            }
         } else if let Some(id) = key.strip_prefix(JOBS) {
             if self.newest(id) >= version {
                 // Our own commit, come back by the watch: not worth reading.
@@ -339,10 +352,20 @@
                 }
             }
         }
-        let (old, mut chunks) = match self.jobs.remove(id) {
-            Some(j) => (j.rec.first.entries, j.chunks),
-            None => (Vec::new(), BTreeMap::new()),
+        let mut rec = rec;
+        let held = self.jobs.remove(id);
+        let known = held.is_some();
+        let (old, mut chunks, mut bundled) = match held {
+            Some(j) => (j.rec.first.entries, j.chunks, j.bundled),
+            None => Default::default(),
         };
+        if rec.cleaned {
+            bundled.clear();
+        } else {
+            self.bundles.lay(id, 0, &mut rec.first, &mut bundled);
+        }
+        let image = (rec.spec.image.clone(), rec.spec.image_gb);
+        let image = Some((image.0.as_str(), image.1));
         self.relink(
             id,
             &old,
@@ -352,40 +375,94 @@
         if let Some(o) = self.orphans.remove(id) {
             chunks.extend(o);
         }
+        if !known && !rec.cleaned {
+            for n in self.bundles.chunks(id).into_iter().filter(|n| *n > 0) {
+                let (chunk, _) = chunks.entry(n).or_default();
+                let before = chunk.entries.clone();
+                self.bundles.lay(id, n, chunk, &mut bundled);
+                let after = chunk.entries.clone();
+                self.relink(id, &before, &after, image);
+            }
+        }
         let job = Job {
             rec,
             version,
             chunks,
             unmet: 0,
             released: Micros::ZERO,
+            bundled,
         };
         self.keep(id, job);
     }
 
     /// Puts a further chunk of a large job.
-    pub fn put_chunk(&mut self, id: &str, n: u32, chunk: Chunk, version: u64) {
+    pub fn put_chunk(&mut self, id: &str, n: u32, mut chunk: Chunk, version: u64) {
         if self.over.contains_key(id) {
             return;
         }
         self.changed.insert(id.to_string());
-        let chunks = match self.jobs.get_mut(id) {
-            Some(j) => &mut j.chunks,
-            None => self.orphans.entry(id.to_string()).or_default(),
+        let Some(mut job) = self.jobs.remove(id) else {
+            let chunks = self.orphans.entry(id.to_string()).or_default();
+            if chunks.get(&n).is_none_or(|(_, v)| *v < version) {
+                let new = chunk.entries.clone();
+                let old = chunks.insert(n, (chunk, version));
+                let old = old.map(|(c, _)| c.entries).unwrap_or_default();
+                self.relink(id, &old, &new, None);
+            }
+            return;
         };
-        if chunks.get(&n).is_none_or(|(_, v)| *v < version) {
+        if job.chunks.get(&n).is_none_or(|(_, v)| *v < version) {
+            if !job.rec.cleaned {
+                self.bundles.lay(id, n, &mut chunk, &mut job.bundled);
+            }
             let new = chunk.entries.clone();
-            let old = chunks.insert(n, (chunk, version));
+            let old = job.chunks.insert(n, (chunk, version));
             let old = old.map(|(c, _)| c.entries).unwrap_or_default();
-            let spec = self.jobs.get(id).map(|j| &j.rec.spec);
-            let image = spec.map(|s| (s.image.clone(), s.image_gb));
-            let image = image.as_ref().map(|(i, gb)| (i.as_str(), *gb));
-            self.relink(id, &old, &new, image);
+            let image = (job.rec.spec.image.as_str(), job.rec.spec.image_gb);
+            self.relink(id, &old, &new, Some(image));
         }
-        if let Some(job) = self.jobs.remove(id) {
-            self.keep(id, job);
+        self.keep(id, job);
+    }
+
+    /// Puts a bundle, and lays it over the jobs that it names.
+    fn put_bundle(&mut self, n: u32, bundle: Bundle, version: u64) {
+        if !self.bundles.put(n, bundle.clone(), version) {
+            return;
+        }
+        for (id, places) in bundle.places {
+            let Some(mut job) = self.jobs.remove(&id) else {
+                continue;
+            };
+            if !job.rec.cleaned {
+                let image = (job.rec.spec.image.clone(), job.rec.spec.image_gb);
+                for e in places {
+                    let (chunk, bundled) = match e.task() / CHUNK {
+                        0 => (&mut job.rec.first, &mut job.bundled),
+                        n => (&mut job.chunks.entry(n).or_default().0, &mut job.bundled),
+                    };
+                    let old: Vec<Entry> = chunk.entry(e.task()).cloned().into_iter().collect();
+                    if lay_one(chunk, &e, bundled) {
+                        self.relink(&id, &old, &[e], Some((&image.0, image.1)));
+                    }
+                }
+                self.changed.insert(id.clone());
+            }
+            self.keep(&id, job);
         }
     }
 
+    /// Whether a bundle holds nothing any more that only it holds.
+    pub fn is_spent(&self, n: u32) -> bool {
+        let counts = |id: &String, e: &Entry| {
+            let job = self.jobs.get(id);
+            job.is_some_and(|j| j.bundled.contains(e))
+        };
+        let places = self.bundles.places(n);
+        places
+            .iter()
+            .all(|(id, p)| !p.iter().any(|e| counts(id, e)))
+    }
+
     /// Keeps a job as what it is now, and tells the jobs that wait for it if it is over, those that
     /// wait for them, and so on. An end is final, so none of it is ever taken back.
     fn keep(&mut self, id: &str, mut job: Job) {
@@ -471,6 +548,11 @@
                 self.renewals.remove(node);
                 self.renewals_changed += 1;
             }
+        } else if let Some(n) = key.strip_prefix(BUNDLES) {
+            // Only what no longer counts is ever deleted, so the jobs stay as they are.
+            if let Ok(n) = n.parse() {
+                self.bundles.delete(n, version);
+            }
         } else if let Some(node) = key.strip_prefix(FORMATS) {
             if self.format_of(node).1 < version {
                 self.formats.remove(node);
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -1,5 +1,6 @@
 //! The store's pace, a copy of its records, and what workers last said.
 
+pub mod bundles;
 pub mod images;
 pub mod mirror;
 pub mod pace;
--- a/src/coordination/edits.rs
+++ b/src/coordination/edits.rs
@@ -8,7 +8,9 @@
 use super::node::{Clock, Node, Tag, cond, put};
 use crate::bookkeeping::mirror::Job;
 use crate::bookkeeping::store::{Ask, Rank, Reply};
-use crate::protocol::records::{CHUNK, Chunk, Entry, JobRec, LEAD, Stage, chunk_key, job_key};
+use crate::protocol::records::{
+    BUNDLES, CHUNK, Chunk, Entry, JobRec, LEAD, Stage, chunk_key, job_key,
+};
 use crate::protocol::wire::{Change, Cond, Txn, json_len};
 use crate::protocol::{Kind, Micros};
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +24,10 @@
     pub places: Vec<Entry>,
     /// The job is over and nothing of it is anywhere: drop its entries.
     pub clean: bool,
+    /// What only bundles hold is to be written into the job's own record.
+    pub fold: bool,
+    /// Bundles name the job.
+    bundled: bool,
     /// When the first of these changes was wanted.
     since: Micros,
 }
@@ -43,6 +49,8 @@
     next_batch: u64,
     /// The state service has rejected larger transactions than this.
     most: Option<usize>,
+    /// It has rejected a bundle.
+    pub unbundled: bool,
 }
 
 /// Some tasks of a job that are done wait this long for others; the worker keeps the result. A
@@ -50,14 +58,24 @@
 const MERGE_DONES: Micros = Micros::millis(4_000);
 /// Nobody waits for the entries of a job that is over.
 const CLEAN_LATER: Micros = Micros::millis(4_000);
+/// What bundles hold is on record already.
+const FOLD_LATER: Micros = Micros::millis(30_000);
 /// Replicas and gangs are waited for by the second, arrays by the minute.
 const ARRAYS_LATER: Micros = Micros::millis(500);
 /// Transactions in flight at once.
 const BATCHES: usize = 3;
 
 impl Edit {
+    /// Nothing but these places.
+    pub fn of_places(places: Vec<Entry>) -> Edit {
+        Edit {
+            places,
+            ..Edit::default()
+        }
+    }
+
     fn is_empty(&self) -> bool {
-        self.done.is_empty() && self.places.is_empty() && !self.clean
+        self.done.is_empty() && self.places.is_empty() && !self.clean && !self.fold
     }
 }
 
@@ -113,9 +131,54 @@
             (at, at)
         } else if !edit.done.is_empty() {
             (at + MERGE_DONES, at + MERGE_DONES.times(2.0))
-        } else {
+        } else if edit.clean {
             (at + CLEAN_LATER, at + CLEAN_LATER.times(3.0))
+        } else {
+            (at, at + FOLD_LATER)
+        }
+    }
+
+    /// Nothing waits to be written.
+    pub fn idle(&self) -> bool {
+        self.wanted.is_empty()
+    }
+
+    /// What is wanted of a job.
+    pub fn wanted_of(&self, id: &str) -> Option<&Edit> {
+        self.wanted.get(id)
+    }
+
+    /// Whether places of a job wait to be written.
+    pub fn wants_places(&self, id: &str) -> bool {
+        self.wanted.get(id).is_some_and(|e| !e.places.is_empty())
+    }
+
+    /// Numbers of the bundles on their way.
+    pub fn bundles_flying(&self) -> BTreeSet<u32> {
+        let changes = self.batches.values().flat_map(|b| &b.txn.changes);
+        let number = |c: &Change| match c {
+            Change::Put { put, .. } => put.strip_prefix(BUNDLES)?.parse().ok(),
+            Change::Delete { .. } => None,
+        };
+        changes.filter_map(number).collect()
+    }
+
+    /// These places of a job are on their way; `rest` stays wanted, with whatever else is.
+    pub fn fly_places(&mut self, id: &str, rest: Vec<Entry>, places: Vec<Entry>) {
+        if let Some(e) = self.wanted.get_mut(id) {
+            e.places = rest;
+            if e.is_empty() {
+                self.wanted.remove(id);
+            }
         }
+        self.flying.insert(id.to_string(), places);
+    }
+
+    /// A transaction that brings changes of these jobs is on its way.
+    pub fn begin(&mut self, jobs: Vec<String>, txn: Txn) -> u64 {
+        self.next_batch += 1;
+        self.batches.insert(self.next_batch, Batch { jobs, txn });
+        self.next_batch
     }
 
     /// Forgets a transaction: what it brought is in the copy now, or is all found out again.
@@ -138,7 +201,7 @@
         };
         let jobs = &self.mirror.jobs;
         l.edits.wanted.retain(|id, _| jobs.contains_key(id));
-        if l.edits.batches.len() >= BATCHES {
+        if l.edits.batches.len() >= BATCHES || !l.caught_up(&self.mirror) {
             return (0, Micros::FAR);
         }
         let mut due = 0;
@@ -182,15 +245,22 @@
             }
         }
         ready.sort_unstable();
+        let ready: Vec<String> = ready.into_iter().map(|(_, id)| id).collect();
+        if most >= 2 && self.write_bundle(clock, &ready, limits) {
+            return;
+        }
+        let Some(l) = &mut self.leader else { return };
         let mut conds = vec![cond(LEAD, l.version)];
         let mut changes = Vec::new();
         let mut jobs = Vec::new();
-        for (_, id) in ready {
+        for id in ready {
             let (Some(edit), Some(job)) = (l.edits.wanted.get(&id), self.mirror.jobs.get(&id))
             else {
                 continue;
             };
-            let w = edited(&id, job, edit, clock, limits);
+            let mut edit = edit.clone();
+            edit.bundled = self.mirror.bundles.name(&id);
+            let w = edited(&id, job, &edit, clock, limits);
             if !changes.is_empty() && changes.len() + w.changes.len() > most {
                 break;
             }
@@ -214,13 +284,7 @@
             return;
         }
         let txn = Txn { conds, changes };
-        l.edits.next_batch += 1;
-        let n = l.edits.next_batch;
-        let batch = Batch {
-            jobs,
-            txn: txn.clone(),
-        };
-        l.edits.batches.insert(n, batch);
+        let n = l.edits.begin(jobs, txn.clone());
         self.store.ask(Rank::Usual, Tag::Edits(n), Ask::Txn(txn));
     }
 
@@ -244,7 +308,11 @@
             }
             Reply::Rejected => {
                 if let (Some(l), Ask::Txn(t)) = (&mut self.leader, &ask) {
-                    l.edits.most = Some((t.changes.len() / 2).max(2));
+                    if l.edits.bundles_flying().is_empty() {
+                        l.edits.most = Some((t.changes.len() / 2).max(2));
+                    } else {
+                        l.edits.unbundled = true;
+                    }
                 }
                 self.end_batch(n);
             }
@@ -271,7 +339,13 @@
         let Some(batch) = l.edits.batches.get(&n) else {
             return;
         };
+        // A bundle changes no record of a job: only its own shows whether it was written.
+        let unwritten = batch.txn.conds.iter().all(|c| {
+            let n = c.key.strip_prefix(BUNDLES).and_then(|n| n.parse().ok());
+            n.is_none_or(|n| self.mirror.bundles.version(n) == c.version)
+        });
         let holds = l.version == batch.txn.conds[0].version
+            && unwritten
             && batch.jobs.iter().all(|id| {
                 let key = job_key(id);
                 let wanted = batch.txn.conds.iter().find(|c| c.key == key);
@@ -302,21 +376,21 @@
 
 /// What a transaction and a value may hold.
 #[derive(Debug, Clone, Copy)]
-struct Limits {
-    ops: usize,
-    bytes: usize,
+pub(super) struct Limits {
+    pub ops: usize,
+    pub bytes: usize,
 }
 
 /// What is written of an edit now, and what stays wanted.
-struct Written {
+pub(super) struct Written {
     conds: Vec<Cond>,
     changes: Vec<Change>,
-    places: Vec<Entry>,
-    rest: Edit,
+    pub places: Vec<Entry>,
+    pub rest: Edit,
 }
 
 /// A job's record with an edit applied, as far as one transaction can take it.
-fn edited(id: &str, job: &Job, edit: &Edit, clock: Clock, limits: Limits) -> Written {
+pub(super) fn edited(id: &str, job: &Job, edit: &Edit, clock: Clock, limits: Limits) -> Written {
     let mut rec: JobRec = job.rec.clone();
     let mut chunks: BTreeMap<u32, Chunk> = BTreeMap::new();
     let mut rest = Edit {
@@ -329,6 +403,7 @@
     if edit.clean {
         // The job is over: what is left in further chunks no longer matters to anybody.
         rec.first.entries.clear();
+        rec.cleaned |= edit.bundled;
         for (n, (c, _)) in &job.chunks {
             if !c.entries.is_empty() && chunks.len() < most {
                 let c = Chunk {
@@ -339,6 +414,18 @@
             }
         }
     }
+    let in_bundles: BTreeSet<u32> = job.bundled.iter().map(|e| e.task() / CHUNK).collect();
+    if edit.fold {
+        for n in in_bundles.iter().filter(|n| **n > 0) {
+            if chunks.len() >= most {
+                rest.fold = true;
+                break;
+            }
+            if let Some((c, _)) = job.chunks.get(n) {
+                chunks.entry(*n).or_insert_with(|| c.clone());
+            }
+        }
+    }
     if job.active() {
         // A gang is placed as a whole, or its members would start without the others.
         let whole = job.rec.spec.kind == Kind::Gang;
@@ -405,12 +492,12 @@
     let (c, p) = put_job(id, job, &rec);
     let mut conds = vec![c];
     let mut changes = Vec::new();
-    if rec != job.rec {
+    if rec != job.rec || (edit.fold && in_bundles.contains(&0)) {
         changes.push(p);
     }
     for (n, c) in chunks {
         let held = job.chunks.get(&n);
-        if held.is_some_and(|(h, _)| *h == c) {
+        if held.is_some_and(|(h, _)| *h == c) && !(edit.fold && in_bundles.contains(&n)) {
             continue;
         }
         let key = chunk_key(id, n);
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -6,7 +6,7 @@
 use crate::bookkeeping::store::{Ask, Rank, Reply};
 use crate::protocol::format::PIPELINES;
 use crate::protocol::job::{Malformed, parse, valid_id};
-use crate::protocol::records::{CHUNK, Chunk, JobRec, Stage, job_key};
+use crate::protocol::records::{BUNDLED, CHUNK, Chunk, JobRec, Stage, job_key};
 use crate::protocol::wire::{Change, JobState, MachineType, Txn, json_len};
 use crate::protocol::{Kind, Micros, Settings, Spec};
 use crate::transport::{NetCmd, Outcome};
@@ -321,6 +321,7 @@
             stage: Stage::Active,
             end: Micros::ZERO,
             first: Chunk::default(),
+            cleaned: false,
         };
         let a = Accepting {
             conns: vec![conn],
@@ -481,8 +482,11 @@
                 let waiting = self.front.cancelling.entry(id.clone()).or_default();
                 waiting.push(conn);
                 if waiting.len() == 1 {
+                    // The entries written here must hold what bundles say at this moment, or the
+                    // job would look as if nothing of it were anywhere.
+                    let bundled = cond(BUNDLED, self.mirror.bundles.head());
                     let txn = Txn {
-                        conds: vec![cond(&key, version)],
+                        conds: vec![cond(&key, version), bundled],
                         changes: vec![put(&key, &rec, None)],
                     };
                     self.store.ask(Rank::First, Tag::Cancel(id), Ask::Txn(txn));
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -29,6 +29,8 @@
     pub term: u64,
     /// Version of the leader's record: the condition of everything we write.
     pub version: u64,
+    /// Version of the record with which we took the lead: whatever earlier leaders wrote is older.
+    pub entered: u64,
     /// When our present term began.
     pub since: Micros,
     /// When we took the lead.
@@ -68,6 +70,8 @@
     revoking: bool,
     renewals_seen: u64,
     leases_at: Micros,
+    /// When bundles are looked at again.
+    pub fold_at: Micros,
     /// When the last pass was.
     pub last_pass: Micros,
     /// The largest demand seen.
@@ -103,6 +107,7 @@
         Leader {
             term,
             version,
+            entered: version,
             since: clock.now,
             led_since: clock.now,
             proof: Micros::ZERO,
@@ -124,6 +129,7 @@
             revoking: false,
             renewals_seen: u64::MAX,
             leases_at: Micros::ZERO,
+            fold_at: clock.now,
             last_pass: Micros::ZERO,
             b_max: 0.0,
             started: 0,
@@ -490,7 +496,7 @@
             }
             if l.dirty {
                 let at = l.last_pass + pace;
-                if at <= now && now < l.proof + START_PROOF {
+                if at <= now && now < l.proof + START_PROOF && l.caught_up(&self.mirror) {
                     l.dirty = false;
                     l.last_pass = now;
                     self.pass(clock);
@@ -500,6 +506,7 @@
             }
         }
         self.revoke(clock);
+        next = next.min(self.fold(clock));
         next = next.min(self.fleet_time(clock));
         next = next.min(self.send_orders(clock));
         next
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Leadership, the queue, placement, tasks and the fleet.
 
+pub mod bundling;
 pub mod edits;
 pub mod fleet;
 pub mod front;
--- a/src/coordination/tasks.rs
+++ b/src/coordination/tasks.rs
@@ -56,7 +56,7 @@
     let Some(w) = l.workers.get(machine) else {
         return d;
     };
-    if w.is_over() || w.term != l.term {
+    if w.is_over() || w.term != l.term || !l.caught_up(mirror) {
         return d;
     }
     let may_start = now < l.proof + START_PROOF;
--- a/src/protocol/format.rs
+++ b/src/protocol/format.rs
@@ -11,5 +11,8 @@
 /// Jobs may need other jobs (`Spec::needs`). The first version would drop the field whenever it
 /// writes the record, and start the job too early.
 pub const PIPELINES: u32 = 2;
+/// Places of many jobs may be in one record (`records::Bundle`). A controller that does not read it would
+/// take tasks for lost that run.
+pub const BUNDLES: u32 = 3;
 /// The newest format that this version reads.
-pub const NEWEST: u32 = PIPELINES;
+pub const NEWEST: u32 = BUNDLES;
--- a/src/protocol/records.rs
+++ b/src/protocol/records.rs
@@ -25,6 +25,28 @@
 /// Newest format that each controller reads.
 pub const FORMATS: &str = "wt/f/";
 
+/// Places of many jobs in one record each (format `BUNDLES`). A listing brings them before the jobs.
+pub const BUNDLES: &str = "wt/b/";
+/// Changes with every bundle that is written.
+pub const BUNDLED: &str = "wt/bundled";
+
+/// Key of bundle `n`.
+pub fn bundle_key(n: u32) -> String {
+    format!("{BUNDLES}{n}")
+}
+
+/// Places that are not in their jobs' own records yet. After a loss there are so many that a change of
+/// the store for each job would take many times as long as starting the tasks.
+///
+/// Of a place here and an entry in the job's records the later attempt counts. A place does not count
+/// if its task is done there, or the job's record is `cleaned`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Bundle {
+    /// Jobs with their places.
+    #[serde(rename = "p")]
+    pub places: Vec<(String, Vec<Entry>)>,
+}
+
 /// Key of the newest format that a controller reads.
 pub fn format_key(node: &str) -> String {
     format!("{FORMATS}{node}")
@@ -252,6 +274,9 @@
     /// Tasks 0 to `CHUNK` - 1.
     #[serde(rename = "c", default)]
     pub first: Chunk,
+    /// The job is over and nothing of it is anywhere, whatever bundles still say.
+    #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
+    pub cleaned: bool,
 }
 
 #[cfg(test)]
