Recovery planner: lost replicas come back first, the rest in the order of acceptance

Need: what is lost at once shall come back in the order in which it was there, and operators shall see it.

Change: coordination/recovery.rs (pure) orders the queue of a pass and tells at info of a loss, of a second one that joins it, and of its end.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -70,6 +70,8 @@
     revoking: bool,
     renewals_seen: u64,
     leases_at: Micros,
+    /// What comes back after a loss.
+    pub recovery: super::recovery::Recovery,
     /// When bundles are looked at again.
     pub fold_at: Micros,
     /// When the last pass was.
@@ -129,6 +131,7 @@
             revoking: false,
             renewals_seen: u64::MAX,
             leases_at: Micros::ZERO,
+            recovery: Default::default(),
             fold_at: clock.now,
             last_pass: Micros::ZERO,
             b_max: 0.0,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -11,5 +11,6 @@
 pub mod placement;
 pub mod policy;
 pub mod queue;
+pub mod recovery;
 pub mod renewal;
 pub mod tasks;
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -6,6 +6,7 @@
 use super::pipeline::Lifted;
 use super::placement::{Host, Names, Shape};
 use super::queue::{self, Item, Room, Victim};
+use super::recovery::{Lost, Recovery};
 use crate::bookkeeping::mirror::{Job, Mirror};
 use crate::bookkeeping::workers::Standing;
 use crate::protocol::records::{CHUNK, Entry};
@@ -47,6 +48,8 @@
     cleans: Vec<String>,
     dones: Vec<(String, u32)>,
     stops: Vec<(String, u32, f64)>,
+    lost: Lost,
+    placed: usize,
 }
 
 impl Leader {
@@ -217,6 +220,7 @@
             }
             present.push((zone, at));
         }
+        found.placed += present.len() + lost;
         if !job.active() {
             if present.is_empty() && !in_flight {
                 found.cleans.push(id.to_string());
@@ -242,7 +246,9 @@
         // A job that fails wherever it is tried waits longer and longer, unless tasks of it do run.
         let trouble = self.troubles.get(id);
         let held_off = trouble.is_some_and(|t| t.again > now) && !runs && job.done_count() == 0;
-        if in_flight || held_off {
+        // More replicas of a job may be placed while some are being written: if they had to wait, jobs
+        // that came later would take their room. Of other jobs an end may be among what is written.
+        if (in_flight && spec.kind != Kind::Service) || held_off {
             self.dirty |= held_off;
             return None;
         }
@@ -259,8 +265,19 @@
         if tasks.is_empty() {
             return None;
         }
+        // What was stopped or has failed was not lost; what went with its machine or its gang was.
+        let gone = |t: &u32| {
+            job.entry(*t).is_some_and(|e| {
+                let s = self.standing(id, e);
+                e.machine().is_some() && matches!(s, Standing::Gone | Standing::Ended(Why::Peers))
+            })
+        };
+        let lost = tasks.iter().filter(|t| gone(t)).count();
+        found.lost.add(spec.kind, lost);
         Some(Item {
             id,
+            at: job.rec.at,
+            lost: lost as u32,
             spec,
             shape,
             tasks,
@@ -312,7 +329,7 @@
             room.insert(t.name.clone(), [most(t.cpus_max), most(t.gpus_max)]);
         }
         let mut victims: Vec<Victim<'_>> = Vec::new();
-        let mut items: Vec<(Micros, Item<'_>)> = Vec::new();
+        let mut items: Vec<Item<'_>> = Vec::new();
         let mut found = Findings::default();
         let within = guaranteed(&self.settings, &self.mirror);
         let lifted = Lifted::new(&self.mirror);
@@ -329,11 +346,13 @@
                 lifted.of(id, job),
                 clock,
             );
-            items.extend(item.map(|i| (job.rec.at, i)));
+            items.extend(item);
         }
         l.unrecorded(&self.mirror, &mut hosts);
-        items.sort_by(|a, b| (a.0, a.1.id).cmp(&(b.0, b.1.id)));
-        let items: Vec<Item<'_>> = items.into_iter().map(|(_, i)| i).collect();
+        if let Some(told) = l.recovery.observe(now, found.lost, found.placed) {
+            log::info!("{told}");
+        }
+        Recovery::order(&mut items);
         for h in &mut hosts.list {
             if h.reserved
                 .as_ref()
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -1,7 +1,7 @@
 //! One pass of BgMBFSDF over the arrival-ordered queue (the paper's algorithm 2).
 
 use super::placement::{self, Amounts, Host, Picker, Shape, slots};
-use crate::protocol::{Kind, Priority, Spec};
+use crate::protocol::{Kind, Micros, Priority, Spec};
 use std::collections::BTreeMap;
 
 /// A job with tasks to start.
@@ -9,10 +9,14 @@
 pub struct Item<'a> {
     /// Job id.
     pub id: &'a str,
+    /// When it was accepted.
+    pub at: Micros,
     /// The job.
     pub spec: &'a Spec,
     /// The same, in numbers.
     pub shape: Shape,
+    /// How many of its tasks have lost a place.
+    pub lost: u32,
     /// Tasks that may start (for a gang: all, or nothing is done).
     pub tasks: Vec<u32>,
     /// Where its other tasks are presumed: zone, and the machine if it is among the hosts.
--- /dev/null
+++ b/src/coordination/recovery.rs
@@ -0,0 +1,141 @@
+//! What comes back, in which order and how fast, when much is lost at once.
+//!
+//! A zone that falls silent, or many machines that restart together, leave hundreds of tasks without
+//! a place within a second or two. The planner is pure: a pass tells it what it found lost, and it
+//! tells the pass in which order jobs are considered, and operators what is going on. Room itself,
+//! rentals and writes are paced where they are made (`fleet`, `bundling`); machines that may come
+//! back count as room there.
+//!
+//! - Replicas come back first: people miss them by the second. Everything else keeps the order of its
+//!   acceptance, so nobody moves ahead because their machines came back sooner.
+//! - Passes keep their usual size. Machines come back over a report interval; one pass that placed all
+//!   at once crowded those that came first, where fewer images were to be found (journal of
+//!   2026-12-01).
+//! - A second loss during a recovery joins it. A new leader starts one from what records and reports
+//!   show; nothing of it is kept in the store, since it all follows from those.
+
+use super::queue::Item;
+use crate::protocol::{Kind, Micros};
+
+/// So many lost tasks at once are a recovery, if they are also this part of all.
+const LEAST: usize = 16;
+const PART: f64 = 0.02;
+
+/// Tasks without a place that had one, by what they belong to.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Lost {
+    /// Of services.
+    pub replicas: usize,
+    /// Of gangs.
+    pub members: usize,
+    /// Of arrays.
+    pub singles: usize,
+}
+
+impl Lost {
+    /// Counts tasks of a job.
+    pub fn add(&mut self, kind: Kind, tasks: usize) {
+        *match kind {
+            Kind::Service => &mut self.replicas,
+            Kind::Gang => &mut self.members,
+            Kind::Array => &mut self.singles,
+        } += tasks;
+    }
+
+    fn all(&self) -> usize {
+        self.replicas + self.members + self.singles
+    }
+}
+
+/// A recovery that is going on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Wave {
+    since: Micros,
+    most: usize,
+}
+
+/// The planner.
+#[derive(Debug, Default)]
+pub struct Recovery {
+    wave: Option<Wave>,
+}
+
+impl Recovery {
+    /// What a pass has found lost, and how many tasks have a place on record. Returns what is to be
+    /// told about it.
+    pub fn observe(&mut self, now: Micros, lost: Lost, placed: usize) -> Option<String> {
+        let n = lost.all();
+        match &mut self.wave {
+            None if n >= LEAST.max((placed as f64 * PART) as usize) => {
+                self.wave = Some(Wave {
+                    since: now,
+                    most: n,
+                });
+                Some(format!(
+                    "recovery: {} replicas, {} members of gangs and {} tasks of arrays have lost \
+                     their places; replicas come back first, the rest as it was accepted",
+                    lost.replicas, lost.members, lost.singles
+                ))
+            }
+            None => None,
+            Some(w) if n == 0 => {
+                let told = format!(
+                    "recovery: all of up to {} tasks have places again, {:.1} s after the loss was \
+                     seen",
+                    w.most,
+                    now.since(w.since).as_secs()
+                );
+                self.wave = None;
+                Some(told)
+            }
+            Some(w) => {
+                // A second loss joins the first.
+                let more = n > w.most;
+                w.most = w.most.max(n);
+                more.then(|| format!("recovery: {n} tasks are without their places now"))
+            }
+        }
+    }
+
+    /// Much is coming back.
+    pub fn going_on(&self) -> bool {
+        self.wave.is_some()
+    }
+
+    /// Puts the queue into the order in which jobs are considered.
+    pub fn order(items: &mut [Item<'_>]) {
+        let first = |i: &Item<'_>| i.lost > 0 && i.spec.kind == Kind::Service;
+        items.sort_by_key(|i| (!first(i), i.at, i.id));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn lost(replicas: usize, singles: usize) -> Lost {
+        let mut l = Lost::default();
+        l.add(Kind::Service, replicas);
+        l.add(Kind::Array, singles);
+        l
+    }
+
+    #[test]
+    fn a_few_lost_tasks_are_no_recovery_and_many_are_until_the_last_is_back() {
+        let mut r = Recovery::default();
+        let at = |s: u64| Micros::millis(s * 1000);
+        assert_eq!(r.observe(at(1), lost(3, 12), 100), None);
+        assert_eq!(r.observe(at(2), lost(10, 20), 4_000), None);
+        assert!(!r.going_on());
+        assert!(r.observe(at(3), lost(10, 80), 4_000).is_some());
+        assert!(r.going_on());
+        // It goes on while anything is missing; a second loss is told of.
+        assert_eq!(r.observe(at(4), lost(0, 1), 4_000), None);
+        assert!(r.going_on());
+        let second = r.observe(at(5), lost(100, 20), 4_000);
+        assert!(second.is_some_and(|t| t.contains("120 tasks")));
+        let told = r.observe(at(9), Lost::default(), 4_000);
+        assert!(told.is_some_and(|t| t.contains("120") && t.contains("6.0 s")));
+        assert!(!r.going_on());
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -88,6 +88,14 @@
     Peer(usize, u64, u64, bool),
 }
 
+/// A task was on a machine with its image.
+#[derive(Debug, Clone)]
+pub struct Began {
+    pub at: u64,
+    pub task: String,
+    pub machine: String,
+}
+
 /// Calls made by controllers.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Costs {
@@ -125,11 +133,15 @@
     /// Jobs submitted with a mistake: their tasks fail on every machine.
     pub broken_jobs: BTreeSet<String>,
     pub delay_orders: Option<u64>,
+    /// The state service takes this much longer to answer.
+    pub slow_store: u64,
     conns: BTreeMap<(usize, u64), Pending>,
     pub jobs: BTreeMap<String, JobTruth>,
     pub said: Vec<(u64, String, u16, String)>,
     pub rng: ChaCha8Rng,
     pub starts: BTreeMap<String, u32>,
+    /// When tasks were there with their images, one after the other.
+    pub began: Vec<Began>,
     pub limits: BTreeMap<String, f64>,
     told_final: BTreeMap<String, String>,
     pub on_break: Option<String>,
@@ -268,11 +280,13 @@
             cuts: Vec::new(),
             lose_answers: Vec::new(),
             delay_orders: None,
+            slow_store: 0,
             conns: BTreeMap::new(),
             jobs: BTreeMap::new(),
             said: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             starts: BTreeMap::new(),
+            began: Vec::new(),
             limits: BTreeMap::from([("red".to_string(), 12.0)]),
             told_final: BTreeMap::new(),
             on_break: None,
@@ -488,6 +502,9 @@
 
     fn answer(&mut self, from: Party, i: usize, run: u64, id: u64, status: u16, body: Vec<u8>) {
         let mut at = self.now + self.latency();
+        if from == Party::Store {
+            at += self.slow_store;
+        }
         match self.across(&Party::Node(i), &from) {
             Some((Cut::Drop, _)) => return,
             Some((Cut::Hold, until)) => at = until + 1000,
@@ -719,6 +736,15 @@
     /// A task has got its image on a machine: is that allowed?
     fn check_start(&mut self, machine: &str, task: &str) {
         let (id, n) = task.rsplit_once('/').expect("a task name");
+        self.began.push(Began {
+            at: self.now,
+            task: task.to_string(),
+            machine: machine.to_string(),
+        });
+        let image = self.jobs.get(id).map(|t| t.spec.image.clone());
+        if let (Some(w), Some(image)) = (self.workers.get_mut(machine), image) {
+            w.images.insert(image);
+        }
         *self.starts.entry(task.to_string()).or_default() += 1;
         let Some(t) = self.jobs.get(id).cloned() else {
             self.broken("invented", format!("{task} started"));
@@ -829,6 +855,8 @@
                         .tasks
                         .iter()
                         .any(|((t, _), s)| *t == task && s.phase != Phase::Exited);
+                    let image = self.jobs.get(&id).map(|t| t.spec.image.clone());
+                    let cached = image.is_some_and(|i| w.images.contains(&i));
                     let t = if busy {
                         Task {
                             phase: Phase::Exited,
@@ -848,7 +876,7 @@
                             phase: Phase::Fetching,
                             why: None,
                             saved: false,
-                            until: self.now + FETCH,
+                            until: self.now + if cached { 0 } else { FETCH },
                         }
                     };
                     w.tasks.insert(key, t);
@@ -1025,7 +1053,12 @@
     // ---- the run -----------------------------------------------------------------------
 
     pub fn run(&mut self, seconds: u64) {
-        let end = self.now + seconds * SEC;
+        self.step_for(seconds * SEC);
+    }
+
+    /// The same, in microseconds.
+    pub fn step_for(&mut self, dt: u64) {
+        let end = self.now + dt;
         while let Some(Reverse((at, serial))) = self.queue.peek().copied() {
             if at > end {
                 break;
@@ -1341,6 +1374,15 @@
             .collect()
     }
 
+    /// The machine on which the leader's copy places a task.
+    pub fn placed_on(&self, task: &str) -> Option<String> {
+        let (id, n) = task.rsplit_once('/')?;
+        let node = self.nodes[self.leader()?].node.as_ref()?;
+        let job = node.mirror.jobs.get(id)?;
+        let entry = job.entry(n.parse().ok()?)?;
+        entry.machine().map(str::to_string)
+    }
+
     /// The last state anybody was told of a job.
     pub fn told(&self, id: &str) -> String {
         self.said
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -46,6 +46,16 @@
 }
 
 impl FakeStore {
+    /// Whether a key is there.
+    pub fn has(&self, key: &str) -> bool {
+        self.keys.contains_key(key)
+    }
+
+    /// How many keys begin like this.
+    pub fn under(&self, prefix: &str) -> usize {
+        self.keys.keys().filter(|k| k.starts_with(prefix)).count()
+    }
+
     fn log(&mut self, put: Option<(String, Value)>, deleted: Option<String>) {
         let (put, value) = put.map_or((None, None), |(k, v)| (Some(k), Some(v)));
         self.log.push(WatchEvent {
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -1,6 +1,6 @@
 //! An in-memory worker: sessions, leases, tokens and tasks as PROTOCOL describes them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use walnuttrestle::protocol::wire::*;
 
 pub type Key = (String, u64);
@@ -33,6 +33,8 @@
     pub errors: bool,
     /// How many tasks have failed here.
     pub failed: u32,
+    /// Images it has fetched; they outlive a session.
+    pub images: BTreeSet<String>,
 }
 
 impl FakeWorker {
@@ -55,6 +57,7 @@
             flying: None,
             errors: false,
             failed: 0,
+            images: BTreeSet::new(),
         }
     }
 
