--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -135,6 +135,8 @@
     pub delay_orders: Option<u64>,
     /// The state service takes this much longer to answer.
     pub slow_store: u64,
+    /// Watches of these controllers are answered this much later; other requests are not.
+    pub lag_watch: BTreeMap<usize, u64>,
     conns: BTreeMap<(usize, u64), Pending>,
     pub jobs: BTreeMap<String, JobTruth>,
     pub said: Vec<(u64, String, u16, String)>,
@@ -281,6 +283,7 @@
             lose_answers: Vec::new(),
             delay_orders: None,
             slow_store: 0,
+            lag_watch: BTreeMap::new(),
             conns: BTreeMap::new(),
             jobs: BTreeMap::new(),
             said: Vec::new(),
@@ -1076,7 +1079,10 @@
                     } else {
                         body
                     };
+                    let lag = self.lag_watch.get(&i).copied().unwrap_or(0);
+                    self.slow_store += lag;
                     self.answer(Party::Store, i, run, id, 200, body);
+                    self.slow_store -= lag;
                 }
             }
             if let Some(b) = &self.on_break {
