--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -7,7 +7,7 @@
 use super::queue::Lack;
 use crate::bookkeeping::pace::Pace;
 use crate::bookkeeping::store::{Ask, Rank};
-use crate::protocol::records::{BASE, Entry, LEAD, Stage, TYPES};
+use crate::protocol::records::{BASE, LEAD, Stage, TYPES};
 use crate::protocol::wire::{
     MachineNames, MachinePage, MachineState, MachineType, MachineTypes, Rent, Report, Txn, decode,
     encode,
@@ -457,19 +457,7 @@
             let lost =
                 silent_zones.contains(&m.zone) && l.workers.get(name).is_some_and(|w| w.is_over());
             if (!m.met || lost) && !m.leaving {
-                let mut host = fresh(&m.kind, &m.zone, m.spot);
-                // One that we have not met may still run what is recorded there, and that will want
-                // the room if it does not. A whole zone's machines are no free room.
-                let unmet = !l.strangers_over && !l.workers.contains_key(name);
-                for (id, task) in self.mirror.placed(name).filter(|_| unmet) {
-                    if let Some(job) = self.mirror.jobs.get(id).filter(|j| j.active())
-                        && job.entry(*task).and_then(Entry::machine) == Some(name)
-                        && let Some(h) = &mut host
-                    {
-                        h.take(&placement::need(&job.rec.spec));
-                    }
-                }
-                coming.extend(host);
+                coming.extend(fresh(&m.kind, &m.zone, m.spot));
             }
             // One that has reported and not yet shown our term is about to take tasks. Left out, a
             // wave of machines that come up together would be rented a second time.
