--- a/src/coordination/policy.rs
+++ b/src/coordination/policy.rs
@@ -27,7 +27,7 @@
     fn default() -> Policy {
         Policy {
             pass_interval_s: 0.0,
-            idle_return_s: 15.0,
+            idle_return_s: 40.0,
             idle_return_kept_s: 300.0,
             keep_idle: 0.0,
             boot_patience: 4.0,
