--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -120,6 +120,7 @@
         found: &mut Findings,
         guaranteed: bool,
         priority: Priority,
+        fetch_rate: f64,
         clock: Clock,
     ) -> Option<Item<'a>> {
         if job.waits() {
@@ -199,6 +200,7 @@
                             backfilled: e.backfilled(),
                             priority,
                             saves: single && spec.checkpoint_s > 0.0,
+                            save_s: spec.save_s,
                             team: &spec.team,
                             surplus: !guaranteed,
                             single: spec.kind == Kind::Array,
@@ -282,6 +284,7 @@
             shape,
             tasks,
             present,
+            fetch_s: spec.image_gb / fetch_rate,
             estimate_s: spec.estimate_s,
             priority,
             guaranteed,
@@ -333,6 +336,8 @@
         let mut found = Findings::default();
         let within = guaranteed(&self.settings, &self.mirror);
         let lifted = Lifted::new(&self.mirror);
+        let rates = self.mirror.types.iter().flatten().map(|t| t.fetch_gb_per_s);
+        let fetch_rate = rates.fold(f64::INFINITY, f64::min).max(1e-3);
         for (id, job) in &self.mirror.jobs {
             let item = l.survey(
                 id,
@@ -344,6 +349,7 @@
                 &mut found,
                 within.contains(id.as_str()),
                 lifted.of(id, job),
+                fetch_rate,
                 clock,
             );
             items.extend(item);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -260,6 +260,12 @@
         None
     }
 
+    /// The machine picked last takes no task after all.
+    pub fn back(&mut self, hosts: &[Host], host: usize) {
+        let r = rank(host, &hosts[host], self.shape, self.ratio);
+        self.apart.push(r);
+    }
+
     /// The machine picked last has taken the task: it comes back with its new rank.
     pub fn taken(&mut self, hosts: &[Host], host: usize) {
         if may_take(&hosts[host], self.id, self.shape) {
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -21,6 +21,8 @@
     pub tasks: Vec<u32>,
     /// Where its other tasks are presumed: zone, and the machine if it is among the hosts.
     pub present: Vec<(u32, Option<usize>)>,
+    /// How long a machine takes to fetch its image.
+    pub fetch_s: f64,
     /// Estimated run time, corrected by what was observed.
     pub estimate_s: f64,
     /// The highest priority of the job and of those that need it.
@@ -50,6 +52,8 @@
     pub priority: Priority,
     /// It can save when it is stopped, so little is lost.
     pub saves: bool,
+    /// How long it takes to save.
+    pub save_s: f64,
     /// Its team.
     pub team: &'a str,
     /// Runs beyond its team's guarantee.
@@ -102,6 +106,10 @@
 /// pass must not grow with the length of the queue times the size of the fleet.
 const MAKE_WAY: usize = 8;
 
+/// What it takes besides saving until a stopped task's place is taken: a stop, a report, a pass, a
+/// record and a start.
+const STOP_S: f64 = 2.0;
+
 /// What a machine to be rented must have; it is none of those that the job avoids.
 fn lacking(item: &Item<'_>) -> Shape {
     Shape {
@@ -154,7 +162,7 @@
         }
         let before = plan.places.len();
         let ratio = demand(item) / b_max.max(1e-9);
-        let short = start(item, hosts, room, ratio, false, &mut plan);
+        let short = start(item, hosts, room, ratio, false, victims, &mut plan);
         if short == 0 {
             continue;
         }
@@ -175,7 +183,7 @@
             break;
         }
         let ratio = demand(item) / b_max.max(1e-9);
-        let short = start(item, hosts, room, ratio, true, &mut plan);
+        let short = start(item, hosts, room, ratio, true, victims, &mut plan);
         if short > 0 {
             plan.lacks.push(Lack {
                 job: item.id.to_string(),
@@ -197,6 +205,7 @@
     room: &mut Room,
     ratio: f64,
     backfill: bool,
+    victims: &[Victim<'_>],
     plan: &mut Plan,
 ) -> u32 {
     let spec = item.spec;
@@ -225,6 +234,7 @@
     let half = spec.tasks.div_ceil(2) as usize;
     let has = |i: usize| item.present.iter().any(|(_, m)| *m == Some(i));
     let mut picker = Picker::new(hosts, item.id, &item.shape, ratio, service, has);
+    let mut clearing = None;
     for (k, task) in item.tasks.iter().take(may as usize).enumerate() {
         let fits = |zone: u32| {
             (!spec.one_zone || zones.iter().all(|z| *z == zone))
@@ -233,6 +243,26 @@
         let Some(host) = picker.next(hosts, fits) else {
             return may - k as u32;
         };
+        if service && !hosts[host].images.contains(&item.shape.image) {
+            let cleared = |h: &&Host| {
+                h.reserved.as_deref() == Some(item.id) && slots(&h.free, &item.shape.need) == 0
+            };
+            let waits = clearing.get_or_insert_with(|| hosts.iter().filter(cleared).count());
+            if *waits > 0 {
+                // It starts as soon as its place is clear.
+                *waits -= 1;
+                picker.back(hosts, host);
+                continue;
+            }
+            if let Some(v) = in_the_way(item, hosts, victims, fits) {
+                plan.stops.push((v.job.to_string(), v.task));
+                plan.reserved.push((v.host, item.id.to_string()));
+                hosts[v.host].reserved = Some(item.id.to_string());
+                zones.push(hosts[v.host].zone);
+                picker.back(hosts, host);
+                continue;
+            }
+        }
         take(&mut hosts[host], room, item);
         picker.taken(hosts, host);
         zones.push(hosts[host].zone);
@@ -246,6 +276,36 @@
     0
 }
 
+/// A task of a lower priority, saving and alone, that keeps a replica from a machine with its image,
+/// where the replica would start in less than half the time that a fetch takes.
+fn in_the_way<'a, 'b>(
+    item: &Item<'_>,
+    hosts: &[Host],
+    victims: &'a [Victim<'b>],
+    fits: impl Fn(u32) -> bool,
+) -> Option<&'a Victim<'b>> {
+    let serves = |v: &&Victim<'_>| {
+        let h = &hosts[v.host];
+        let mut room = h.free;
+        for (r, n) in room.iter_mut().zip(v.need) {
+            *r += n;
+        }
+        v.single
+            && v.saves
+            && v.priority < item.priority
+            && item.fetch_s > 2.0 * (v.save_s + STOP_S)
+            && h.open
+            && h.reserved.is_none()
+            && h.images.contains(&item.shape.image)
+            && slots(&room, &item.shape.need) > 0
+            && placement::allowed(&item.shape, h.kind, h.zone, h.spot)
+            && !item.shape.avoid.contains(&v.host)
+            && item.present.iter().all(|(_, m)| *m != Some(v.host))
+            && fits(h.zone)
+    };
+    victims.iter().filter(serves).max_by_key(|v| v.order)
+}
+
 /// If a blocked job fits once others are gone, stops those on its room, latest first: what was
 /// backfilled, for the job at the top; what has a lower priority, if it can save or makes room for
 /// replicas; and what other teams run beyond their guarantees, for a job within its own. The
@@ -337,3 +397,120 @@
     }
     true
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn spec(kind: Kind, priority: Priority) -> Spec {
+        Spec {
+            class: "c".into(),
+            team: "t".into(),
+            kind,
+            priority,
+            tasks: 1,
+            cpus: 1.0,
+            gpus: 1.0,
+            memory_gb: 1.0,
+            image: "img".into(),
+            image_gb: 8.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 30.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+            needs: Vec::new(),
+        }
+    }
+
+    fn host(free: f64, images: &[u32]) -> Host {
+        Host {
+            kind: 1,
+            zone: 2,
+            spot: false,
+            session: 1,
+            total: [4.0; 3],
+            free: [free; 3],
+            open: true,
+            images: images.to_vec(),
+            reserved: None,
+        }
+    }
+
+    fn item<'a>(spec: &'a Spec, fetch_s: f64) -> Item<'a> {
+        Item {
+            id: "req-2",
+            at: Micros::ZERO,
+            spec,
+            lost: 0,
+            shape: Shape {
+                need: [1.0; 3],
+                kinds: None,
+                zone: None,
+                spot: false,
+                saves: false,
+                image: 7,
+                avoid: Vec::new(),
+            },
+            tasks: vec![0],
+            present: Vec::new(),
+            fetch_s,
+            estimate_s: 0.0,
+            priority: spec.priority,
+            guaranteed: false,
+            overdue: false,
+        }
+    }
+
+    fn victim(priority: Priority) -> Victim<'static> {
+        Victim {
+            job: "req-1",
+            task: 3,
+            host: 1,
+            need: [1.0; 3],
+            order: 1,
+            backfilled: false,
+            priority,
+            saves: true,
+            save_s: 3.0,
+            team: "t",
+            surplus: false,
+            single: true,
+        }
+    }
+
+    fn run(item: Item<'_>, hosts: &mut [Host], victims: &[Victim<'_>]) -> Plan {
+        let mut room = Room::new();
+        pass(&[item], hosts, victims, &mut room, &mut 0.0, 10)
+    }
+
+    #[test]
+    fn a_replica_takes_a_saving_tasks_place_rather_than_wait_for_a_long_fetch() {
+        let service = spec(Kind::Service, Priority::Production);
+        // Room without the image; and the image without room.
+        let fleet = || [host(4.0, &[]), host(0.0, &[7])];
+        let low = [victim(Priority::Low)];
+        let plan = run(item(&service, 20.0), &mut fleet(), &low);
+        assert_eq!(plan.stops, [("req-1".to_string(), 3)]);
+        assert_eq!(plan.reserved, [(1, "req-2".to_string())]);
+        assert!(plan.places.is_empty() && plan.lacks.is_empty());
+        // While that is being saved nothing else is stopped, and the replica waits.
+        let mut clearing = fleet();
+        clearing[1].reserved = Some("req-2".into());
+        let plan = run(item(&service, 20.0), &mut clearing, &low);
+        assert!(plan.stops.is_empty() && plan.places.is_empty() && plan.lacks.is_empty());
+        // Then it takes the place.
+        clearing[1].free = [1.0; 3];
+        let plan = run(item(&service, 20.0), &mut clearing, &[]);
+        assert_eq!(plan.places[0].host, 1);
+        // A short fetch, or a task of the same priority, is no reason to stop anything.
+        for (fetch_s, priority) in [(9.0, Priority::Low), (20.0, Priority::Production)] {
+            let plan = run(item(&service, fetch_s), &mut fleet(), &[victim(priority)]);
+            assert!(plan.stops.is_empty() && plan.places[0].host == 0);
+        }
+    }
+}
