A live leader is left alone when controllers hear one another again

Change: a sibling's word against the leader counts once it has been heard for 2.5 s without a silence; whoever hears the leader has a veto as before; the lease in the store decides as before.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -115,6 +115,8 @@
 /// What a sibling last told.
 struct SiblingView {
     heard: Micros,
+    /// Since when it has been heard without a longer silence.
+    since: Micros,
     leader_silent_ms: Option<u64>,
     served: bool,
     /// It has told of a format older than the one on record for it, so it has gone back.
@@ -940,8 +942,13 @@
         if h.leading.is_some() {
             self.leader_heard = Some((h.node.clone(), clock.now));
         }
+        let before = self.sibling_view.get(&h.node);
+        let since = before
+            .filter(|v| clock.now.since(v.heard) < LEADER_SILENT)
+            .map_or(clock.now, |v| v.since);
         let view = SiblingView {
             heard: clock.now,
+            since,
             leader_silent_ms: h.leader_silent_ms,
             served: h.served,
             went_back: Some(h.format).filter(|f| *f < self.mirror.format_of(&h.node).0),
@@ -959,14 +966,18 @@
             return false;
         }
         // One that is cut off by itself must not take the lead from the rest: somebody else has
-        // to miss the leader, too. Otherwise the lease in the store decides.
-        let mut others = self
-            .sibling_view
-            .iter()
-            .filter(|(n, v)| *n != leader && clock.now.since(v.heard) < LEADER_SILENT)
-            .peekable();
-        others.peek().is_some()
-            && others.all(|(_, v)| {
+        // to miss the leader, too. Otherwise the lease in the store decides. Where controllers could
+        // not reach one another and can again, it is luck whom one hears first: somebody's word counts
+        // only once they have been heard for as long as a leader may be silent.
+        let recent = |v: &SiblingView| clock.now.since(v.heard) < LEADER_SILENT;
+        let steady = |v: &SiblingView| clock.now.since(v.since) >= LEADER_SILENT;
+        let views = self.sibling_view.iter();
+        let others: Vec<&SiblingView> = views
+            .filter(|(n, v)| *n != leader && recent(v))
+            .map(|(_, v)| v)
+            .collect();
+        others.iter().any(|v| steady(v))
+            && others.iter().all(|v| {
                 let silent = v.leader_silent_ms;
                 silent.is_none_or(|ms| ms * 1000 >= LEADER_SILENT.0)
             })
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -166,6 +166,27 @@
     }
 }
 
+#[test]
+fn controllers_that_hear_one_another_again_leave_a_live_leader_alone() {
+    for seed in 600..620 {
+        let mut w = settled(seed, 4);
+        w.user("req-1", job(Kind::Service, 4, 1.0), 0);
+        // Their heartbeats are not in step.
+        for i in 0..3 {
+            let back = w.rng.random_range(SEC..3 * SEC);
+            w.crash(i, back);
+        }
+        w.run(25);
+        let (l, term) = (w.leader().unwrap(), w.term());
+        for (i, j) in [(0, 1), (0, 2), (1, 2)] {
+            w.cut(Party::Node(i), Party::Node(j), Cut::Drop, 20 * SEC);
+        }
+        w.run(40);
+        // Which of the others one hears first is luck.
+        assert_eq!((w.leader(), w.term()), (Some(l), term), "seed {seed}");
+    }
+}
+
 #[test]
 fn a_leader_cut_from_the_workers_alone_still_runs_them() {
     let mut w = settled(47, 4);
