--- a/src/coordination/bundling.rs
+++ b/src/coordination/bundling.rs
@@ -9,6 +9,7 @@
 use super::edits::{Edit, Limits, edited};
 use super::leader::Leader;
 use super::node::{Clock, Node, Tag, cond, put};
+use crate::bookkeeping::mirror::{Job, Mirror};
 use crate::bookkeeping::store::{Ask, Rank};
 use crate::protocol::format::BUNDLES;
 use crate::protocol::records::{BUNDLED, Bundle, Entry, LEAD, bundle_key, job_key};
@@ -137,7 +138,7 @@
                 continue;
             }
             for (id, _) in self.mirror.bundles.places(n) {
-                let counts = |j: &crate::bookkeeping::mirror::Job| !j.bundled.is_empty();
+                let counts = |j: &Job| !j.bundled.is_empty();
                 if left > 0 && self.mirror.jobs.get(id).is_some_and(counts) {
                     l.edits.want(id, clock.now).fold = true;
                     left -= 1;
@@ -151,7 +152,7 @@
 impl Leader {
     /// The copy holds all that earlier leaders wrote. The records of jobs alone do not show whether
     /// it does: a bundle changes none of them.
-    pub fn caught_up(&self, mirror: &crate::bookkeeping::mirror::Mirror) -> bool {
+    pub fn caught_up(&self, mirror: &Mirror) -> bool {
         mirror.revision >= self.entered
     }
 }
