One piece each for bundle keys, saving jobs, room, and the stories of a return

Six stories share comes_back; a lagging watch no longer borrows the slow store's setting; the first version's unknown names stand in one list.

--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -4,7 +4,7 @@
 use super::images::Images;
 use crate::protocol::records::{
     BASE, BUNDLED, BUNDLES, Bundle, CHUNK, CHUNKS, Chunk, Entry, FORMATS, JOBS, JobRec, LEAD, LIVE,
-    LeadRec, RENEWALS, RenewRec, Stage, TYPES, bundle_key, renew_key,
+    LeadRec, RENEWALS, RenewRec, Stage, TYPES, bundle_key, bundle_number, renew_key,
 };
 use crate::protocol::wire::{ItemPage, MachineType, MachineTypes, WatchAnswer, from_value};
 use crate::protocol::{Kind, Micros, format};
@@ -303,9 +303,9 @@
             }
         } else if key == BUNDLED {
             self.bundles.moved(version);
-        } else if let Some(n) = key.strip_prefix(BUNDLES) {
-            match (n.parse::<u32>(), from_value::<Bundle>(&value)) {
-                (Ok(n), Some(b)) => self.put_bundle(n, b, version),
+        } else if key.starts_with(BUNDLES) {
+            match (bundle_number(key), from_value::<Bundle>(&value)) {
+                (Some(n), Some(b)) => self.put_bundle(n, b, version),
                 _ => log::error!("mirror: the bundle {key} cannot be read"),
             }
         } else if let Some(id) = key.strip_prefix(JOBS) {
@@ -364,14 +364,8 @@
         } else {
             self.bundles.lay(id, 0, &mut rec.first, &mut bundled);
         }
-        let image = (rec.spec.image.clone(), rec.spec.image_gb);
-        let image = Some((image.0.as_str(), image.1));
-        self.relink(
-            id,
-            &old,
-            &rec.first.entries,
-            Some((&rec.spec.image, rec.spec.image_gb)),
-        );
+        let image = Some((rec.spec.image.as_str(), rec.spec.image_gb));
+        self.relink(id, &old, &rec.first.entries, image);
         if let Some(o) = self.orphans.remove(id) {
             chunks.extend(o);
         }
@@ -401,27 +395,29 @@
             return;
         }
         self.changed.insert(id.to_string());
-        let Some(mut job) = self.jobs.remove(id) else {
-            let chunks = self.orphans.entry(id.to_string()).or_default();
-            if chunks.get(&n).is_none_or(|(_, v)| *v < version) {
-                let new = chunk.entries.clone();
-                let old = chunks.insert(n, (chunk, version));
-                let old = old.map(|(c, _)| c.entries).unwrap_or_default();
-                self.relink(id, &old, &new, None);
-            }
-            return;
+        let mut job = self.jobs.remove(id);
+        let held = match &job {
+            Some(j) => Some(&j.chunks),
+            None => self.orphans.get(id),
         };
-        if job.chunks.get(&n).is_none_or(|(_, v)| *v < version) {
-            if !job.rec.cleaned {
-                self.bundles.lay(id, n, &mut chunk, &mut job.bundled);
+        let held = held.and_then(|c| c.get(&n));
+        if held.is_none_or(|(_, v)| *v < version) {
+            if let Some(j) = job.as_mut().filter(|j| !j.rec.cleaned) {
+                self.bundles.lay(id, n, &mut chunk, &mut j.bundled);
             }
             let new = chunk.entries.clone();
-            let old = job.chunks.insert(n, (chunk, version));
+            let chunks = match &mut job {
+                Some(j) => &mut j.chunks,
+                None => self.orphans.entry(id.to_string()).or_default(),
+            };
+            let old = chunks.insert(n, (chunk, version));
             let old = old.map(|(c, _)| c.entries).unwrap_or_default();
-            let image = (job.rec.spec.image.as_str(), job.rec.spec.image_gb);
-            self.relink(id, &old, &new, Some(image));
+            let spec = job.as_ref().map(|j| &j.rec.spec);
+            self.relink(id, &old, &new, spec.map(|s| (s.image.as_str(), s.image_gb)));
+        }
+        if let Some(job) = job {
+            self.keep(id, job);
         }
-        self.keep(id, job);
     }
 
     /// Puts a bundle, and lays it over the jobs that it names.
@@ -434,7 +430,7 @@
                 continue;
             };
             if !job.rec.cleaned {
-                let image = (job.rec.spec.image.clone(), job.rec.spec.image_gb);
+                let image = Some((job.rec.spec.image.as_str(), job.rec.spec.image_gb));
                 for e in places {
                     let (chunk, bundled) = match e.task() / CHUNK {
                         0 => (&mut job.rec.first, &mut job.bundled),
@@ -442,7 +438,7 @@
                     };
                     let old: Vec<Entry> = chunk.entry(e.task()).cloned().into_iter().collect();
                     if lay_one(chunk, &e, bundled) {
-                        self.relink(&id, &old, &[e], Some((&image.0, image.1)));
+                        self.relink(&id, &old, &[e], image);
                     }
                 }
                 self.changed.insert(id.clone());
@@ -458,9 +454,7 @@
             job.is_some_and(|j| j.bundled.contains(e))
         };
         let places = self.bundles.places(n);
-        places
-            .iter()
-            .all(|(id, p)| !p.iter().any(|e| counts(id, e)))
+        !places.iter().any(|(id, p)| p.iter().any(|e| counts(id, e)))
     }
 
     /// Keeps a job as what it is now, and tells the jobs that wait for it if it is over, those that
@@ -548,11 +542,9 @@
                 self.renewals.remove(node);
                 self.renewals_changed += 1;
             }
-        } else if let Some(n) = key.strip_prefix(BUNDLES) {
+        } else if let Some(n) = bundle_number(key) {
             // Only what no longer counts is ever deleted, so the jobs stay as they are.
-            if let Ok(n) = n.parse() {
-                self.bundles.delete(n, version);
-            }
+            self.bundles.delete(n, version);
         } else if let Some(node) = key.strip_prefix(FORMATS) {
             if self.format_of(node).1 < version {
                 self.formats.remove(node);
@@ -573,32 +565,14 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::protocol::Spec;
     use crate::protocol::records::{chunk_key, job_key};
     use crate::protocol::wire::{Item, to_value};
-    use crate::protocol::{Priority, Spec};
 
     fn record(stage: Stage, entries: Vec<Entry>) -> JobRec {
         let spec = Spec {
-            class: "c".into(),
-            team: "blue".into(),
-            kind: Kind::Service,
-            priority: Priority::Normal,
             tasks: 60,
-            cpus: 1.0,
-            gpus: 1.0,
-            memory_gb: 1.0,
-            image: "img".into(),
-            image_gb: 1.0,
-            types: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: false,
-            estimate_s: 0.0,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
-            needs: Vec::new(),
+            ..Spec::sample(Kind::Service)
         };
         JobRec {
             spec,
--- a/src/coordination/bundling.rs
+++ b/src/coordination/bundling.rs
@@ -48,10 +48,7 @@
         }
         let n = self.mirror.bundles.free(&l.edits.bundles_flying());
         let key = bundle_key(n);
-        let mut conds = vec![
-            cond(LEAD, l.version),
-            cond(&key, self.mirror.bundles.version(n)),
-        ];
+        let mut conds = vec![cond(LEAD, l.version), cond(&key, 0)];
         let mut bundle = Bundle::default();
         let mut bytes = json_len(&bundle);
         let mut jobs = Vec::new();
@@ -65,7 +62,7 @@
                 continue;
             }
             let only = Edit::of_places(edit.places.clone());
-            let w = edited(id, job, &only, clock, limits);
+            let w = edited(id, job, &only, false, clock, limits);
             if w.places.is_empty() {
                 continue;
             }
@@ -112,15 +109,17 @@
         if self.mirror.bundles.is_empty() {
             return Micros::FAR;
         }
+        match &self.leader {
+            None => return Micros::FAR,
+            Some(l) if clock.now < l.fold_at => return l.fold_at,
+            Some(_) => {}
+        }
         // A controller that has gone back does not see them: then they are brought in at once.
         let hurry = !self.all_read(BUNDLES);
         let each = (self.store.write_rate() * FOLD_SHARE).max(1.0) as usize;
         let Some(l) = &mut self.leader else {
             return Micros::FAR;
         };
-        if clock.now < l.fold_at {
-            return l.fold_at;
-        }
         l.fold_at = clock.now + FOLD_EVERY;
         if !(hurry || l.edits.idle()) {
             return l.fold_at;
--- a/src/coordination/edits.rs
+++ b/src/coordination/edits.rs
@@ -9,7 +9,7 @@
 use crate::bookkeeping::mirror::Job;
 use crate::bookkeeping::store::{Ask, Rank, Reply};
 use crate::protocol::records::{
-    BUNDLES, CHUNK, Chunk, Entry, JobRec, LEAD, Stage, chunk_key, job_key,
+    CHUNK, Chunk, Entry, JobRec, LEAD, Stage, bundle_number, chunk_key, job_key,
 };
 use crate::protocol::wire::{Change, Cond, Txn, json_len};
 use crate::protocol::{Kind, Micros};
@@ -26,8 +26,6 @@
     pub clean: bool,
     /// What only bundles hold is to be written into the job's own record.
     pub fold: bool,
-    /// Bundles name the job.
-    bundled: bool,
     /// When the first of these changes was wanted.
     since: Micros,
 }
@@ -157,7 +155,7 @@
     pub fn bundles_flying(&self) -> BTreeSet<u32> {
         let changes = self.batches.values().flat_map(|b| &b.txn.changes);
         let number = |c: &Change| match c {
-            Change::Put { put, .. } => put.strip_prefix(BUNDLES)?.parse().ok(),
+            Change::Put { put, .. } => bundle_number(put),
             Change::Delete { .. } => None,
         };
         changes.filter_map(number).collect()
@@ -258,9 +256,8 @@
             else {
                 continue;
             };
-            let mut edit = edit.clone();
-            edit.bundled = self.mirror.bundles.name(&id);
-            let w = edited(&id, job, &edit, clock, limits);
+            let named = self.mirror.bundles.name(&id);
+            let w = edited(&id, job, edit, named, clock, limits);
             if !changes.is_empty() && changes.len() + w.changes.len() > most {
                 break;
             }
@@ -341,8 +338,7 @@
         };
         // A bundle changes no record of a job: only its own shows whether it was written.
         let unwritten = batch.txn.conds.iter().all(|c| {
-            let n = c.key.strip_prefix(BUNDLES).and_then(|n| n.parse().ok());
-            n.is_none_or(|n| self.mirror.bundles.version(n) == c.version)
+            bundle_number(&c.key).is_none_or(|n| self.mirror.bundles.version(n) == c.version)
         });
         let holds = l.version == batch.txn.conds[0].version
             && unwritten
@@ -389,8 +385,16 @@
     pub rest: Edit,
 }
 
-/// A job's record with an edit applied, as far as one transaction can take it.
-pub(super) fn edited(id: &str, job: &Job, edit: &Edit, clock: Clock, limits: Limits) -> Written {
+/// A job's record with an edit applied, as far as one transaction can take it. `named`: bundles name
+/// the job.
+pub(super) fn edited(
+    id: &str,
+    job: &Job,
+    edit: &Edit,
+    named: bool,
+    clock: Clock,
+    limits: Limits,
+) -> Written {
     let mut rec: JobRec = job.rec.clone();
     let mut chunks: BTreeMap<u32, Chunk> = BTreeMap::new();
     let mut rest = Edit {
@@ -403,7 +407,7 @@
     if edit.clean {
         // The job is over: what is left in further chunks no longer matters to anybody.
         rec.first.entries.clear();
-        rec.cleaned |= edit.bundled;
+        rec.cleaned |= named;
         for (n, (c, _)) in &job.chunks {
             if !c.entries.is_empty() && chunks.len() < most {
                 let c = Chunk {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -701,7 +701,7 @@
                 // What saves loses little when its machine is taken; the rest takes spot machines only
                 // where no others are to be had.
                 let price = match spot {
-                    true if spec.checkpoint_s > 0.0 => t.spot_price,
+                    true if spec.saves() => t.spot_price,
                     true => t.price * 1.01,
                     false => t.price,
                 } / n as f64;
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -401,10 +401,10 @@
             if phase != Phase::Exited {
                 continue;
             }
-            let fetching = |o: &&Seen| {
+            let was_fetching = |o: &Seen| {
                 (o.task, o.attempt, o.phase) == (task, attempt.2, Phase::Fetching) && o.job == id
             };
-            if old.iter().any(|o| fetching(&o)) && why != Some(Why::Done) {
+            if old.iter().any(was_fetching) && why != Some(Why::Done) {
                 let alone = w.tasks.iter().all(|t| {
                     let job = self.mirror.jobs.get(&t.job);
                     t.phase == Phase::Exited || job.is_none_or(|j| j.rec.spec.image != spec.image)
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -199,7 +199,7 @@
                             order: order.copied().unwrap_or(0),
                             backfilled: e.backfilled(),
                             priority,
-                            saves: single && spec.checkpoint_s > 0.0,
+                            saves: single && spec.saves(),
                             save_s: spec.save_s,
                             team: &spec.team,
                             surplus: !guaranteed,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -71,7 +71,7 @@
                 .map(|t| t.iter().map(|k| names.id(k)).collect()),
             zone: spec.zone.as_ref().map(|z| names.id(z)),
             spot: spec.spot,
-            saves: spec.checkpoint_s > 0.0,
+            saves: spec.saves(),
             image: names.id(&spec.image),
             avoid: Vec::new(),
         }
@@ -111,9 +111,7 @@
 
     /// Gives room back.
     pub fn give(&mut self, need: &Amounts) {
-        for (free, n) in self.free.iter_mut().zip(need) {
-            *free += n;
-        }
+        add(&mut self.free, need);
     }
 
     /// Nothing takes room on it.
@@ -124,6 +122,13 @@
 
 const EPS: f64 = 1e-6;
 
+/// Adds what a task takes to some room.
+pub fn add(room: &mut Amounts, need: &Amounts) {
+    for (r, n) in room.iter_mut().zip(need) {
+        *r += n;
+    }
+}
+
 /// How many tasks of this size fit into the room.
 pub fn slots(room: &Amounts, need: &Amounts) -> u32 {
     let mut n = 1e6;
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -286,10 +286,11 @@
 ) -> Option<&'a Victim<'b>> {
     let serves = |v: &&Victim<'_>| {
         let h = &hosts[v.host];
-        let mut room = h.free;
-        for (r, n) in room.iter_mut().zip(v.need) {
-            *r += n;
-        }
+        let room = || {
+            let mut room = h.free;
+            placement::add(&mut room, &v.need);
+            room
+        };
         v.single
             && v.saves
             && v.priority < item.priority
@@ -297,7 +298,7 @@
             && h.open
             && h.reserved.is_none()
             && h.images.contains(&item.shape.image)
-            && slots(&room, &item.shape.need) > 0
+            && slots(&room(), &item.shape.need) > 0
             && placement::allowed(&item.shape, h.kind, h.zone, h.spot)
             && !item.shape.avoid.contains(&v.host)
             && item.present.iter().all(|(_, m)| *m != Some(v.host))
@@ -388,9 +389,7 @@
             if slots(&free, &need) >= n {
                 break;
             }
-            for (f, n) in free.iter_mut().zip(v.need) {
-                *f += n;
-            }
+            placement::add(&mut free, &v.need);
             plan.stops.push((v.job.to_string(), v.task));
         }
         plan.reserved.push((h, item.id.to_string()));
@@ -402,31 +401,6 @@
 mod tests {
     use super::*;
 
-    fn spec(kind: Kind, priority: Priority) -> Spec {
-        Spec {
-            class: "c".into(),
-            team: "t".into(),
-            kind,
-            priority,
-            tasks: 1,
-            cpus: 1.0,
-            gpus: 1.0,
-            memory_gb: 1.0,
-            image: "img".into(),
-            image_gb: 8.0,
-            types: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: false,
-            estimate_s: 30.0,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
-            needs: Vec::new(),
-        }
-    }
-
     fn host(free: f64, images: &[u32]) -> Host {
         Host {
             kind: 1,
@@ -490,7 +464,10 @@
 
     #[test]
     fn a_replica_takes_a_saving_tasks_place_rather_than_wait_for_a_long_fetch() {
-        let service = spec(Kind::Service, Priority::Production);
+        let service = Spec {
+            priority: Priority::Production,
+            ..Spec::sample(Kind::Service)
+        };
         // Room without the image; and the image without room.
         let fleet = || [host(4.0, &[]), host(0.0, &[7])];
         let low = [victim(Priority::Low)];
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -1,4 +1,4 @@
-//! What comes back, in which order and how fast, when much is lost at once.
+//! What comes back, in which order, when much is lost at once.
 //!
 //! A zone that falls silent, or many machines that restart together, leave hundreds of tasks without
 //! a place within a second or two. The planner is pure: a pass tells it what it found lost, and it
@@ -97,11 +97,6 @@
         }
     }
 
-    /// Much is coming back.
-    pub fn going_on(&self) -> bool {
-        self.wave.is_some()
-    }
-
     /// Puts the queue into the order in which jobs are considered.
     pub fn order(items: &mut [Item<'_>]) {
         let first = |i: &Item<'_>| i.lost > 0 && i.spec.kind == Kind::Service;
@@ -126,16 +121,16 @@
         let at = |s: u64| Micros::millis(s * 1000);
         assert_eq!(r.observe(at(1), lost(3, 12), 100), None);
         assert_eq!(r.observe(at(2), lost(10, 20), 4_000), None);
-        assert!(!r.going_on());
+        assert!(r.wave.is_none());
         assert!(r.observe(at(3), lost(10, 80), 4_000).is_some());
-        assert!(r.going_on());
+        assert!(r.wave.is_some());
         // It goes on while anything is missing; a second loss is told of.
         assert_eq!(r.observe(at(4), lost(0, 1), 4_000), None);
-        assert!(r.going_on());
+        assert!(r.wave.is_some());
         let second = r.observe(at(5), lost(100, 20), 4_000);
         assert!(second.is_some_and(|t| t.contains("120 tasks")));
         let told = r.observe(at(9), Lost::default(), 4_000);
         assert!(told.is_some_and(|t| t.contains("120") && t.contains("6.0 s")));
-        assert!(!r.going_on());
+        assert!(r.wave.is_none());
     }
 }
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -97,6 +97,40 @@
     pub needs: Vec<String>,
 }
 
+impl Spec {
+    /// Saves by itself while it runs, so that little is lost when it is stopped.
+    pub fn saves(&self) -> bool {
+        self.checkpoint_s > 0.0
+    }
+
+    /// A job of one task, for tests to vary.
+    #[cfg(test)]
+    pub fn sample(kind: Kind) -> Spec {
+        Spec {
+            class: "c".into(),
+            team: "t".into(),
+            kind,
+            priority: Priority::Normal,
+            tasks: 1,
+            cpus: 1.0,
+            gpus: 1.0,
+            memory_gb: 1.0,
+            image: "img".into(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 0.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+            needs: Vec::new(),
+        }
+    }
+}
+
 /// Most tasks a job may have.
 pub const MAX_TASKS: u64 = 100_000;
 
--- a/src/protocol/records.rs
+++ b/src/protocol/records.rs
@@ -35,6 +35,11 @@
     format!("{BUNDLES}{n}")
 }
 
+/// The number of the bundle that a key names.
+pub fn bundle_number(key: &str) -> Option<u32> {
+    key.strip_prefix(BUNDLES)?.parse().ok()
+}
+
 /// Places that are not in their jobs' own records yet. After a loss there are so many that a change of
 /// the store for each job would take many times as long as starting the tasks.
 ///
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -6,7 +6,8 @@
 
 use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet};
-use walnuttrestle::protocol::{Kind, Spec};
+use std::ops::Range;
+use walnuttrestle::protocol::Kind;
 use world::{Cut, LEASE_S, Party, SEC, World, job};
 
 const SERVICES: usize = 16;
@@ -52,8 +53,12 @@
     assert!(w.leader().is_some(), "nobody leads");
 }
 
-fn spec_of(w: &World, id: &str) -> Spec {
-    w.jobs[id].spec.clone()
+fn kind_of(w: &World, task: &str) -> Kind {
+    w.jobs[job_of(task)].spec.kind
+}
+
+fn job_of(task: &str) -> &str {
+    task.split('/').next().unwrap()
 }
 
 /// Tasks that had begun before `since` and began again after it, by the machine they were on, with
@@ -80,10 +85,8 @@
     for (machine, tasks) in returns(w, since) {
         for (a, at_a) in &tasks {
             for (b, at_b) in &tasks {
-                let of = |t: &String| t.split('/').next().unwrap().to_string();
-                let (job_a, job_b) = (of(a), of(b));
-                let (kind_a, kind_b) = (spec_of(w, &job_a).kind, spec_of(w, &job_b).kind);
-                let first = job_a < job_b && kind_a == kind_b;
+                let (kind_a, kind_b) = (kind_of(w, a), kind_of(w, b));
+                let first = job_of(a) < job_of(b) && kind_a == kind_b;
                 let replica = kind_a == Kind::Service && kind_b != Kind::Service;
                 if !(first || replica) {
                     continue;
@@ -168,97 +171,90 @@
     assert!(bundled(&w), "places went one by one");
 }
 
+/// Whatever `trouble` does to a busy world, and however long it lets it run: what was lost `after` its
+/// beginning is back in order.
+fn comes_back(seeds: Range<u64>, machines: usize, after: u64, trouble: impl Fn(&mut World, u64)) {
+    for seed in seeds {
+        let mut w = busy(seed, machines);
+        let since = w.now + after;
+        trouble(&mut w, seed);
+        in_order(&w, since);
+        all_there(&w);
+    }
+}
+
 #[test]
 fn a_zone_lost_while_all_controllers_restart() {
-    for seed in 10..14 {
-        let mut w = busy(seed, 12);
-        let since = w.now;
-        cut_off(&mut w, "b", 40 * SEC);
+    comes_back(10..14, 12, LEASE_S * SEC, |w, _| {
+        cut_off(w, "b", 40 * SEC);
         w.run(2);
         (0..3).for_each(|i| w.crash(i, 4 * SEC));
         w.run(140);
-        in_order(&w, since + LEASE_S * SEC);
-        all_there(&w);
-    }
+    });
 }
 
 #[test]
 fn half_the_machines_of_both_zones_at_once() {
-    for seed in 20..24 {
-        let mut w = busy(seed, 12);
-        let since = w.now;
-        kill(&mut w, |i| i % 4 < 2);
+    comes_back(20..24, 12, 0, |w, _| {
+        kill(w, |i| i % 4 < 2);
         w.run(160);
-        in_order(&w, since);
-        all_there(&w);
-    }
+    });
 }
 
 #[test]
 fn a_lost_zone_comes_back_while_replacements_start() {
-    for seed in 30..34 {
-        let mut w = busy(seed, 10);
-        let since = w.now;
+    comes_back(30..34, 10, LEASE_S * SEC, |w, seed| {
         // Leases of 10 s end, replacements take 5 s to boot: the cut ends in between.
         let dt = (LEASE_S + 4 + seed % 4) * SEC;
-        for (m, _) in machines(&w).iter().filter(|(_, z)| z == "b") {
+        for (m, _) in machines(w).iter().filter(|(_, z)| z == "b") {
             for i in 0..3 {
                 w.cut(Party::Node(i), Party::Worker(m.clone()), Cut::Hold, dt);
             }
         }
         w.run(120);
-        in_order(&w, since + LEASE_S * SEC);
-        all_there(&w);
-    }
+    });
 }
 
 #[test]
 fn a_second_loss_during_a_recovery() {
-    for seed in 40..44 {
-        let mut w = busy(seed, 12);
-        let since = w.now;
-        kill(&mut w, |i| i % 4 == 0);
+    comes_back(40..44, 12, 0, |w, _| {
+        kill(w, |i| i % 4 == 0);
         w.run(LEASE_S + 3);
-        kill(&mut w, |i| i % 4 == 1);
+        kill(w, |i| i % 4 == 1);
         w.run(160);
-        in_order(&w, since);
-        all_there(&w);
-    }
+    });
 }
 
 #[test]
 fn a_recovery_while_the_state_service_answers_slowly() {
-    for seed in 50..53 {
-        let mut w = busy(seed, 12);
-        let since = w.now;
+    comes_back(50..53, 12, 0, |w, _| {
         w.slow_store = 600_000;
-        kill(&mut w, |i| i % 4 < 2);
+        kill(w, |i| i % 4 < 2);
         w.run(90);
         w.slow_store = 0;
         w.run(90);
-        in_order(&w, since);
-        all_there(&w);
+    });
+}
+
+/// Until the first bundle is written, and no longer.
+fn run_until_bundled(w: &mut World, step: u64) {
+    let since = w.now;
+    while !bundled(w) {
+        assert!(w.now < since + 60 * SEC, "nothing came back");
+        w.step_for(step);
     }
 }
 
 #[test]
 fn a_leader_lost_in_the_middle_of_a_recovery() {
-    for seed in 60..66 {
-        let mut w = busy(seed, 12);
-        let since = w.now;
-        kill(&mut w, |i| i % 4 < 2);
-        // Until the first bundle is written, and no longer.
-        while !bundled(&w) {
-            assert!(w.now < since + 60 * SEC, "nothing came back");
-            w.step_for(20_000);
-        }
+    comes_back(60..66, 12, 0, |w, _| {
+        kill(w, |i| i % 4 < 2);
+        run_until_bundled(w, 20_000);
         let l = w.leader().unwrap();
         w.lose_answers.push((Party::Store, w.now + SEC / 2));
         w.crash(l, 6 * SEC);
         w.run(160);
-        in_order(&w, since);
-        all_there(&w);
-    }
+    });
 }
 
 #[test]
@@ -365,11 +361,7 @@
         let l = w.leader().unwrap();
         w.lag_watch = (0..3).filter(|i| *i != l).map(|i| (i, 9 * SEC)).collect();
         kill(&mut w, |i| i % 4 < 2);
-        let since = w.now;
-        while !bundled(&w) {
-            assert!(w.now < since + 60 * SEC, "nothing came back");
-            w.step_for(1_000);
-        }
+        run_until_bundled(&mut w, 1_000);
         w.crash(l, 30 * SEC);
         w.run(4);
         assert!(w.leader().is_some_and(|n| n != l), "nobody took over");
@@ -403,9 +395,7 @@
 fn bundles_are_folded_at_once_when_a_controller_goes_back() {
     let mut w = busy(130, 12);
     kill(&mut w, |i| i % 4 < 2);
-    while !bundled(&w) {
-        w.step_for(20_000);
-    }
+    run_until_bundled(&mut w, 20_000);
     let l = w.leader().unwrap();
     let back = (0..3).find(|i| *i != l).unwrap();
     w.set_old(back, true);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -504,7 +504,22 @@
     }
 
     fn answer(&mut self, from: Party, i: usize, run: u64, id: u64, status: u16, body: Vec<u8>) {
-        let mut at = self.now + self.latency();
+        self.answer_late(from, i, run, id, status, body, 0);
+    }
+
+    /// The same, this much later than the network takes.
+    #[allow(clippy::too_many_arguments)]
+    fn answer_late(
+        &mut self,
+        from: Party,
+        i: usize,
+        run: u64,
+        id: u64,
+        status: u16,
+        body: Vec<u8>,
+        late: u64,
+    ) {
+        let mut at = self.now + self.latency() + late;
         if from == Party::Store {
             at += self.slow_store;
         }
@@ -1080,9 +1095,7 @@
                         body
                     };
                     let lag = self.lag_watch.get(&i).copied().unwrap_or(0);
-                    self.slow_store += lag;
-                    self.answer(Party::Store, i, run, id, 200, body);
-                    self.slow_store -= lag;
+                    self.answer_late(Party::Store, i, run, id, 200, body, lag);
                 }
             }
             if let Some(b) = &self.on_break {
--- a/tests/world/old.rs
+++ b/tests/world/old.rs
@@ -64,10 +64,16 @@
     served: bool,
 }
 
+/// Beginnings of names that it does not know, and what stands for them where it lists all: names that
+/// it does not know either, at the same place in the order, since a listing goes on from the last one.
+const UNKNOWN: [(&str, &str); 3] = [
+    ("wt/f/", "wt/f0/"),
+    ("wt/b/", "wt/b0/"),
+    ("wt/bundled", "wt/bundled0"),
+];
+
 fn seen(key: &str) -> bool {
-    !["wt/f/", "wt/b/", "wt/bundled"]
-        .iter()
-        .any(|k| key.starts_with(k))
+    UNKNOWN.iter().all(|(k, _)| !key.starts_with(k))
 }
 
 /// A value as the first version writes it again after it has read it.
@@ -99,11 +105,13 @@
             if seen(&i.key) {
                 i.value = rewritten(&i.key, i.value.clone());
             } else {
-                // Unknown keys pass it by. The name keeps its place in the order, since a listing goes on
-                // from the last one.
-                let name = i.key.replacen("wt/f/", "wt/f0/", 1);
-                let name = name.replacen("wt/b/", "wt/b0/", 1);
-                i.key = name.replacen("wt/bundled", "wt/bundled0", 1);
+                // Unknown keys pass it by.
+                for (k, other) in UNKNOWN {
+                    if let Some(rest) = i.key.strip_prefix(k) {
+                        i.key = format!("{other}{rest}");
+                        break;
+                    }
+                }
             }
         }
         encode(&page)
