A rejected transaction is judged by itself, not by the bundles on their way

Found on rereading: an ordinary transaction that the state service rejected while a bundle was on its way ended bundling and left its own size as it was.

--- a/src/coordination/edits.rs
+++ b/src/coordination/edits.rs
@@ -305,10 +305,11 @@
             }
             Reply::Rejected => {
                 if let (Some(l), Ask::Txn(t)) = (&mut self.leader, &ask) {
-                    if l.edits.bundles_flying().is_empty() {
-                        l.edits.most = Some((t.changes.len() / 2).max(2));
-                    } else {
+                    // What was rejected decides, not what else is on its way.
+                    if t.conds.iter().any(|c| bundle_number(&c.key).is_some()) {
                         l.edits.unbundled = true;
+                    } else {
+                        l.edits.most = Some((t.changes.len() / 2).max(2));
                     }
                 }
                 self.end_batch(n);
