--- a/benches/scale.rs
+++ b/benches/scale.rs
@@ -1,12 +1,18 @@
-//! What a leader's work costs as the fleet grows: a pass, the reading of all records at a takeover, and
-//! the pass after half the machines are lost. `cargo bench`; figures in `docs/limits.md`.
+//! What a leader's work costs as the fleet and the queue grow: a pass, the reading of all records at a
+//! takeover, the pass after half the machines are lost, and passes while thousands of jobs wait, beside
+//! the plain pass of before. `cargo bench --bench scale -- FILTER`; figures in `docs/limits.md`.
+
+#[path = "../tests/plain/mod.rs"]
+mod plain;
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
 use std::time::Duration;
 use walnuttrestle::bookkeeping::mirror::Mirror;
-use walnuttrestle::bookkeeping::workers::Worker;
+use walnuttrestle::bookkeeping::workers::{Seen, Worker};
+use walnuttrestle::coordination::backlog::Backlog;
 use walnuttrestle::coordination::leader::Leader;
 use walnuttrestle::coordination::node::{Clock, Node};
+use walnuttrestle::coordination::pass;
 use walnuttrestle::coordination::policy::Policy;
 use walnuttrestle::protocol::records::{
     BASE, Chunk, Entry, JobRec, LEAD, LeadRec, Stage, TYPES, job_key,
@@ -258,5 +264,133 @@
     group.finish();
 }
 
-criterion_group!(benches, scale);
+/// Jobs that wait: arrays of some 15 tasks, gangs of whole machines, and one service in fifty.
+fn waiting(jobs: usize, tasks: u32) -> impl Iterator<Item = (String, JobRec)> {
+    (0..jobs).map(move |j| {
+        let kind = match j % 50 {
+            0 => Kind::Service,
+            n if n % 10 == 1 => Kind::Gang,
+            _ => Kind::Array,
+        };
+        let mut spec = spec(kind, j);
+        spec.tasks = if kind == Kind::Array { tasks } else { 2 };
+        // Owners ask for about as much, not the same.
+        spec.cpus = 4.0 + (j * 7 % 30) as f64 / 10.0;
+        spec.estimate_s = 30.0 + (j * 31 % 97) as f64;
+        if kind == Kind::Gang {
+            spec.gpus = PLACES as f64;
+            spec.priority = Priority::High;
+        }
+        let rec = JobRec {
+            spec,
+            at: Micros(1_000_000 + j as u64),
+            stage: Stage::Active,
+            end: Micros::ZERO,
+            first: Chunk::default(),
+            cleaned: false,
+        };
+        (format!("wait-{j:06}"), rec)
+    })
+}
+
+/// A leader of a fleet, the last `open` places of which are free on each machine, and a queue.
+fn queued(machines: usize, jobs: usize, tasks: u32, open: usize) -> Node {
+    let mut node = leading(machines, &pages(machines), |_| false);
+    if open == 0 {
+        // What is left of each machine is taken, too.
+        for m in 0..machines {
+            let Some(l) = &mut node.leader else { break };
+            let Some(w) = l.workers.get_mut(&name(m)) else {
+                continue;
+            };
+            for k in w.tasks.len()..PLACES {
+                let id = format!("full-{m:06}-{k}");
+                let mut rec = JobRec {
+                    spec: spec(Kind::Service, m),
+                    at: Micros(900_000),
+                    stage: Stage::Active,
+                    end: Micros::ZERO,
+                    first: Chunk::default(),
+                    cleaned: false,
+                };
+                rec.spec.tasks = 1;
+                rec.first.set(Entry(0, 1, name(m), 1, 1, false));
+                node.mirror.put_job(&id, rec, 3);
+                w.tasks.push(Seen {
+                    job: id,
+                    task: 0,
+                    attempt: 1,
+                    phase: Phase::Running,
+                    why: None,
+                });
+            }
+        }
+    }
+    for (id, rec) in waiting(jobs, tasks) {
+        node.mirror.put_job(&id, rec, 3);
+    }
+    node.mirror.take_changed();
+    node
+}
+
+fn queues(c: &mut Criterion) {
+    let mut group = c.benchmark_group("queue");
+    group
+        .sample_size(10)
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_secs(2));
+    for machines in [300, 1_250, 5_000] {
+        for (jobs, tasks) in [(1_000, 10), (10_000, 10), (100_000, 10)] {
+            for (what, open) in [("full", 0), ("with room", 1)] {
+                let node = queued(machines, jobs, tasks, open);
+                let Some(l) = &node.leader else { continue };
+                let mut kept = pass::Kept::default();
+                let at = format!("{what}, {machines} machines, {jobs} jobs");
+                let now = clock();
+                let mut new = || {
+                    let (m, s, p) = (&node.mirror, &node.settings, &node.policy);
+                    pass::decide(l, &mut kept, m, s, p, now, None)
+                };
+                let starts = new().starts.len();
+                assert_eq!(starts > 0, open > 0, "{at}: {starts} starts");
+                group.bench_function(BenchmarkId::new("kept", &at), |b| b.iter(&mut new));
+                // A plain pass over the longest queues takes seconds.
+                if jobs <= 10_000 && machines < 5_000 {
+                    group.bench_function(BenchmarkId::new("plain", &at), |b| {
+                        b.iter(|| {
+                            let (m, s, p) = (&node.mirror, &node.settings, &node.policy);
+                            plain::decide(l, m, s, p, now)
+                        })
+                    });
+                }
+            }
+        }
+    }
+    let all: Vec<ItemPage> = pages(1_250);
+    for jobs in [1_000, 10_000, 100_000] {
+        let node = queued(1_250, jobs, 10, 1);
+        group.bench_function(BenchmarkId::new("kept from records", jobs), |b| {
+            b.iter(|| Backlog::build(node.mirror.jobs.iter()).queued());
+        });
+        let items: Vec<Item> = waiting(jobs, 10)
+            .map(|(id, rec)| Item {
+                key: job_key(&id),
+                value: to_value(&rec),
+                version: 3,
+            })
+            .collect();
+        group.bench_function(BenchmarkId::new("records read", jobs), |b| {
+            b.iter(|| {
+                let mut mirror = read(&all);
+                for i in &items {
+                    mirror.put(&i.key, i.value.clone(), i.version);
+                }
+                mirror.jobs.len()
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, scale, queues);
 criterion_main!(benches);
--- a/src/bookkeeping/images.rs
+++ b/src/bookkeeping/images.rs
@@ -60,10 +60,17 @@
     /// The machine has given the fetch up: no task there needs the image any more.
     pub fn given_up(&mut self, machine: &str, image: &str) {
         if let Some(c) = self.machines.get_mut(machine) {
+            self.uses += 1;
+            c.used = self.uses;
             c.images.retain(|(i, _)| i != image);
         }
     }
 
+    /// Changes with every change of what the machine has.
+    pub fn version(&self, machine: &str) -> u64 {
+        self.machines.get(machine).map_or(0, |c| c.used)
+    }
+
     /// What a machine whose cache holds so many GB probably has, used last first.
     pub fn of(&self, machine: &str, cache_gb: f64) -> impl Iterator<Item = &str> {
         let all = self.machines.get(machine).into_iter();
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -135,6 +135,8 @@
     pub renewals_changed: u64,
     /// Jobs whose records have changed since somebody last took the list.
     changed: BTreeSet<String>,
+    /// Live jobs that are over, with tasks that may still be somewhere.
+    ending: BTreeSet<String>,
     /// Tasks with an attempt on record, by machine.
     placed: BTreeMap<String, BTreeSet<(String, u32)>>,
 }
@@ -157,6 +159,18 @@
         })
     }
 
+    /// Live jobs that are over, with tasks that may still be somewhere.
+    pub fn ending(&self) -> impl Iterator<Item = &String> {
+        self.ending.iter()
+    }
+
+    /// Live jobs that wait for others; one that waits for several comes as often.
+    pub fn waiting(&self) -> impl Iterator<Item = &Job> {
+        let names = self.dependents.values().flatten();
+        let jobs = names.filter_map(|id| self.jobs.get(id));
+        jobs.filter(|j| j.active() && j.waits())
+    }
+
     /// Whether any job waits for others.
     pub fn any_wait(&self) -> bool {
         !self.dependents.is_empty()
@@ -516,6 +530,7 @@
         // A job that is over stays among the live ones while tasks of it may be somewhere.
         if ended && job.entries().all(|e| e.machine().is_none()) {
             self.jobs.remove(id);
+            self.ending.remove(id);
             let f = Final {
                 stage: job.rec.stage,
                 tasks: job.rec.spec.tasks,
@@ -526,6 +541,9 @@
             self.over.insert(id.to_string(), f);
         } else {
             self.over.remove(id);
+            if ended {
+                self.ending.insert(id.to_string());
+            }
             self.jobs.insert(id.to_string(), job);
         }
         ended
@@ -553,6 +571,7 @@
             && self.jobs.get(id).is_some_and(|j| j.version < version)
             && let Some(job) = self.jobs.remove(id)
         {
+            self.ending.remove(id);
             self.relink(id, &job.rec.first.entries, &[], None);
             for (c, _) in job.chunks.values() {
                 self.relink(id, &c.entries, &[], None);
--- a/src/coordination/edits.rs
+++ b/src/coordination/edits.rs
@@ -95,6 +95,12 @@
         self.flying.contains_key(id)
     }
 
+    /// Jobs of which changes are wanted or on their way; some may come twice.
+    pub fn jobs(&self) -> impl Iterator<Item = &str> {
+        let all = self.wanted.keys().chain(self.flying.keys());
+        all.map(String::as_str)
+    }
+
     /// Places of a job that are not on record yet: they take room from the moment they are chosen.
     pub fn places(&self, id: &str) -> impl Iterator<Item = &Entry> {
         let flying = self.flying.get(id).into_iter().flatten();
--- /dev/null
+++ b/src/coordination/far.rs
@@ -0,0 +1,165 @@
+//! The jobs that a pass walks past: those in the queue of which nothing is anywhere.
+
+use super::backlog::{Arrival, Backlog, Brief, Form, Row, Slot, Stand, Within};
+use super::pipeline::Lifted;
+use super::queue::{Item, far_tasks};
+use crate::bookkeeping::mirror::Job;
+use crate::protocol::{Kind, Micros, Priority};
+use std::collections::BTreeMap;
+
+/// Work within a guarantee that has waited this long, longer than machines usually take to boot, is
+/// given room at the cost of other teams' surplus gangs, too.
+const OVERDUE: Micros = Micros::millis(60_000);
+
+/// What a pass has to know of any job besides its record.
+pub struct Scene<'a> {
+    /// The queue.
+    pub backlog: &'a Backlog,
+    /// All live jobs.
+    pub jobs: &'a BTreeMap<String, Job>,
+    /// How far guarantees reach.
+    pub within: Within,
+    /// Priorities of jobs that others need.
+    pub lifted: Lifted<'a>,
+    /// The slowest fetch of any machine type, in GB a second.
+    pub fetch_rate: f64,
+    /// Time of day.
+    pub wall: Micros,
+}
+
+impl<'a> Scene<'a> {
+    /// Whether a job is within its team's guarantee.
+    pub fn guaranteed(&self, row: &Row) -> bool {
+        let team = self.backlog.form_of(row).team;
+        self.within.covers(team, row.at, &row.id)
+    }
+
+    /// Whether a job has waited for long.
+    pub fn overdue(&self, row: &Row) -> bool {
+        self.wall.since(row.released) > OVERDUE
+    }
+
+    /// An item for a job with these tasks to start; where its others are is to be filled in.
+    pub fn item(&self, id: &'a str, job: &'a Job, row: &Row, tasks: Vec<u32>) -> Item<'a> {
+        let spec = &job.rec.spec;
+        Item {
+            id,
+            at: row.at,
+            spec,
+            shape: self.backlog.shape(row),
+            team: self.backlog.form_of(row).team,
+            reach: self.backlog.form_of(row).reach,
+            lost: 0,
+            tasks,
+            present: Vec::new(),
+            fetch_s: spec.image_gb / self.fetch_rate,
+            estimate_s: spec.estimate_s,
+            priority: self.lifted.of(id, job),
+            guaranteed: self.guaranteed(row),
+            overdue: self.overdue(row),
+        }
+    }
+}
+
+/// A place in the queue: time of day of the acceptance, then the id.
+pub type Place<'a> = (Micros, &'a str);
+
+fn place((at, id): &Arrival) -> Place<'_> {
+    (*at, id)
+}
+
+/// Those jobs, without the ones that a pass has looked into for other reasons.
+pub struct Far<'a> {
+    scene: &'a Scene<'a>,
+    near: Vec<bool>,
+}
+
+impl<'a> Far<'a> {
+    /// All but those in these slots.
+    pub fn new(scene: &'a Scene<'a>, near: impl Iterator<Item = Slot>) -> Far<'a> {
+        let mut marks = vec![false; scene.backlog.slots()];
+        for slot in near {
+            if let Some(m) = marks.get_mut(slot as usize) {
+                *m = true;
+            }
+        }
+        Far { scene, near: marks }
+    }
+
+    fn far(&self, b: &Brief) -> bool {
+        !self.near[b.slot as usize]
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        let near = self.near.iter().zip(0..).filter(|(near, _)| **near);
+        let rows = near.filter_map(|(_, slot)| self.scene.backlog.row(slot));
+        let queued = rows.filter(|r| r.stand == Stand::Queued).count();
+        self.scene.backlog.queued() - queued
+    }
+
+    /// Services in order of arrival.
+    pub fn replicas(&self) -> impl Iterator<Item = (Place<'a>, &'a Brief)> + '_ {
+        let all = self.scene.backlog.replicas();
+        all.filter(|(_, b)| self.far(b)).map(|(a, b)| (place(a), b))
+    }
+
+    /// Gangs and arrays in order of arrival.
+    pub fn others(&self) -> impl Iterator<Item = (Place<'a>, &'a Brief)> + '_ {
+        let all = self.scene.backlog.others();
+        all.filter(|(_, b)| self.far(b)).map(|(a, b)| (place(a), b))
+    }
+
+    /// Gangs and arrays, shortest estimate first.
+    pub fn shortest(&self) -> impl Iterator<Item = (f64, Place<'a>, &'a Brief)> + '_ {
+        let all = self.scene.backlog.shortest();
+        all.filter(|(_, b)| self.far(b))
+            .map(|((e, a), b)| (e.0, place(a), b))
+    }
+
+    /// What a job has in common with others.
+    pub fn form_of(&self, b: &Brief) -> &'a Form {
+        self.scene.backlog.form_at(b.form)
+    }
+
+    /// How many different searches for room there are.
+    pub fn reaches(&self) -> usize {
+        self.scene.backlog.reaches()
+    }
+
+    /// Whether a job is within its team's guarantee.
+    pub fn guaranteed(&self, team: u32, (at, id): Place<'_>) -> bool {
+        self.scene.within.covers(team, at, id)
+    }
+
+    /// Whether a job has waited for long.
+    pub fn overdue(&self, b: &Brief) -> bool {
+        let row = self.scene.backlog.row(b.slot);
+        row.is_some_and(|r| self.scene.overdue(r))
+    }
+
+    /// The highest priority of a job and of those that need it.
+    pub fn priority(&self, form: &Form, id: &str) -> Priority {
+        self.scene.lifted.over(id, form.priority)
+    }
+
+    /// The job with this id.
+    pub fn job(&self, id: &str) -> Option<(&'a String, &'a Job)> {
+        self.scene.jobs.get_key_value(id)
+    }
+
+    /// The job behind a row.
+    pub fn job_of(&self, b: &Brief) -> Option<(&'a String, &'a Job)> {
+        self.job(&self.scene.backlog.row(b.slot)?.id)
+    }
+
+    /// The job as a pass handles it.
+    pub fn item(&self, b: &Brief) -> Option<Item<'a>> {
+        let row = self.scene.backlog.row(b.slot)?;
+        let (id, job) = self.job(&row.id)?;
+        debug_assert!(self.far(b));
+        let most = far_tasks(self.form_of(b).kind == Kind::Gang, b) as usize;
+        let open = (0..job.rec.spec.tasks).filter(|t| !job.is_done(*t));
+        Some(self.scene.item(id, job, row, open.take(most).collect()))
+    }
+}
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,10 +1,13 @@
 //! Machines: renting, adopting, giving up and returning them.
 
-use super::leader::sick;
+use super::leader::{Leader, sick};
 use super::node::{CallTag, Clock, Node, Tag, cond, put};
-use super::pass::Hosts;
-use super::placement::{self, Host, Names, Shape, allowed, slots};
-use super::queue::Lack;
+use super::placement::{self, Allow, Amounts, Host, Names, Shape, slots};
+use super::policy::Policy;
+use super::queue::{Lack, Met};
+use super::rooms::Vain;
+use super::survey::Hosts;
+use crate::bookkeeping::mirror::{Job, Mirror};
 use crate::bookkeeping::pace::Pace;
 use crate::bookkeeping::store::{Ask, Rank};
 use crate::protocol::records::{BASE, LEAD, Stage, TYPES};
@@ -12,9 +15,11 @@
     MachineNames, MachinePage, MachineState, MachineType, MachineTypes, Rent, Report, Txn, decode,
     encode,
 };
-use crate::protocol::{Kind, Micros, Spec};
+use crate::protocol::{Micros, Settings, Spec};
 use crate::transport::Outcome;
+use foldhash::{HashMap, HashMapExt};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 /// A call to the cloud.
 #[derive(Debug, Clone)]
@@ -53,7 +58,7 @@
     listed_once: bool,
     types_at: Micros,
     typing: bool,
-    refused: BTreeMap<(String, String, bool), Micros>,
+    refused: BTreeMap<Offer, Micros>,
     renting: BTreeMap<String, (Rent, bool)>,
     counter: u64,
     pace: Option<Pace>,
@@ -401,121 +406,20 @@
         }
     }
 
-    /// Rents what lacks, unless we are too new to know, and picks what to return. `hosts`: as they
-    /// are after this pass.
-    pub fn plan_fleet(
-        &mut self,
-        clock: Clock,
-        hosts: &Hosts,
-        names: &mut Names,
-        lacks: &[Lack],
-        learnt: bool,
-    ) {
-        let now = clock.now;
-        let types: Vec<MachineType> = self.mirror.types.clone().unwrap_or_default();
-        let lag = Micros::secs(self.settings.params.cloud.list_lag_s * 3.0);
-        let silent_zones = self.silent_zones(clock);
-        self.give_up(clock, hosts, &types, lag, !lacks.is_empty());
+    /// Rents and returns what a pass has planned.
+    pub fn apply_fleet(&mut self, plan: FleetPlan) {
         let Some(l) = &mut self.leader else { return };
         let f = &mut l.fleet;
-        // Nothing is rented before it is on record what was there without us.
-        if !f.listed_once || self.mirror.base.is_none() {
-            return;
+        for (name, why) in plan.leave {
+            f.leave(&name, why);
         }
-        f.refused.retain(|_, until| *until > now);
         for (rent, flying) in f.renting.values_mut() {
-            if !*flying {
+            if plan.ready && !*flying {
                 *flying = true;
                 f.wanted.push_back(CloudAsk::Rent(rent.clone()));
             }
         }
-        if lacks.is_empty() || !learnt {
-            return;
-        }
-        let mut coming: Vec<Host> = Vec::new();
-        let mut count: BTreeMap<String, usize> = BTreeMap::new();
-        let mut fresh = |kind: &str, zone: &str, spot: bool| {
-            let t = types.iter().find(|t| t.name == kind)?;
-            let total = [t.cpus, t.gpus, t.memory_gb];
-            Some(Host {
-                kind: names.id(kind),
-                zone: names.id(zone),
-                spot,
-                session: 0,
-                total,
-                free: total,
-                open: true,
-                images: Vec::new(),
-                reserved: None,
-            })
-        };
-        for (name, m) in f.machines.iter().filter(|(_, m)| !m.failed) {
-            match count.get_mut(&m.zone) {
-                Some(n) => *n += 1,
-                None => _ = count.insert(m.zone.clone(), 1),
-            }
-            let lost =
-                silent_zones.contains(&m.zone) && l.workers.get(name).is_some_and(|w| w.is_over());
-            if (!m.met || lost) && !m.leaving {
-                coming.extend(fresh(&m.kind, &m.zone, m.spot));
-            }
-            // One that has reported and not yet shown our term is about to take tasks. Left out, a
-            // wave of machines that come up together would be rented a second time.
-            if let Some(h) = hosts.find(name)
-                && l.workers.get(name).is_some_and(|w| w.term < l.term)
-                && !m.leaving
-            {
-                let mut host = hosts.list[h].clone();
-                host.open = true;
-                coming.push(host);
-            }
-        }
-        for (r, _) in f.renting.values() {
-            for _ in 0..r.count {
-                coming.extend(fresh(&r.kind, &r.zone, r.spot));
-            }
-            *count.entry(r.zone.clone()).or_default() += r.count as usize;
-        }
-        let mut orders: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
-        let mut ordered = 0;
-        let most = self.policy.most_machines as usize;
-        for lack in lacks {
-            let Some(job) = self.mirror.jobs.get(&lack.job) else {
-                continue;
-            };
-            let spec = &job.rec.spec;
-            let shape = &lack.shape;
-            let mut left = place_virtually(spec, shape, &mut coming, lack.tasks);
-            let before_all = ordered;
-            while left > 0 && ordered < RENTED_A_PASS {
-                let total: usize = count.values().sum();
-                if most > 0 && total >= most {
-                    break;
-                }
-                let Some((kind, zone, spot)) = offer(spec, &types, &f.refused, &count) else {
-                    break;
-                };
-                coming.extend(fresh(&kind, &zone, spot));
-                *count.entry(zone.clone()).or_default() += 1;
-                *orders.entry((kind, zone, spot)).or_default() += 1;
-                ordered += 1;
-                let before = left;
-                left = place_virtually(spec, shape, &mut coming, left);
-                if left >= before && spec.kind != Kind::Gang {
-                    break;
-                }
-            }
-            if ordered > before_all {
-                log::debug!(
-                    "{}: {} of its {} tasks lack room, {} machines are rented for it",
-                    lack.job,
-                    lack.tasks,
-                    spec.tasks,
-                    ordered - before_all
-                );
-            }
-        }
-        for ((kind, zone, spot), mut n) in orders {
+        for ((kind, zone, spot), mut n) in plan.rent {
             while n > 0 {
                 f.counter += 1;
                 // The term is part of the name: a controller that leads a second time counts anew.
@@ -536,153 +440,399 @@
             }
         }
     }
+}
+
+/// What is offered: a type in a zone, as a spot machine or not.
+type Offer = (String, String, bool);
+
+/// What a pass wants of the fleet.
+#[derive(Debug, Default, PartialEq)]
+pub struct FleetPlan {
+    /// Machines to be returned, and why.
+    pub leave: Vec<(String, &'static str)>,
+    /// Machines to be rented.
+    pub rent: BTreeMap<Offer, u32>,
+    /// It is known what is there without us, so that rentals may go on.
+    pub ready: bool,
+}
+
+/// What a job needs that found no room.
+pub struct Need<'a> {
+    /// All of its tasks, or none.
+    pub gang: bool,
+    /// Jobs with the same number find room in the same places.
+    pub reach: u32,
+    /// What one task takes.
+    pub need: &'a Amounts,
+    /// Which machines it may use.
+    pub allow: &'a Arc<Allow>,
+}
+
+/// Looks up what found no room. The job itself is looked up only if something may be rented for it.
+pub trait Wants<'a> {
+    /// What a job needs.
+    fn need<'n>(&'n self, of: Met<'n>) -> Need<'n>;
+    /// The job.
+    fn job(&self, of: Met<'_>) -> Option<(&'a String, &'a Job)>;
+}
+
+impl Need<'_> {
+    fn shape(&self) -> Shape {
+        Shape {
+            need: *self.need,
+            allow: self.allow.clone(),
+            saves: false,
+            // What is being rented has no image.
+            image: u32::MAX,
+            avoid: Vec::new(),
+        }
+    }
+}
 
-    /// Zones most of whose machines have fallen silent: more likely cut off than dead. Their
-    /// machines are worth waiting for as long as new ones would take to boot.
-    fn silent_zones(&self, clock: Clock) -> BTreeSet<String> {
-        let mut heard: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
-        let quiet = Micros::secs(self.settings.params.workers.report_s * 2.5);
-        for w in self.leader.iter().flat_map(|l| l.workers.values()) {
-            let c = heard.entry(w.zone.as_str()).or_default();
-            c.0 += 1;
-            c.1 += usize::from(clock.now.since(w.heard) > quiet);
-        }
-        heard
-            .into_iter()
-            .filter(|(_, (all, silent))| *silent >= 2 && silent * 2 > *all)
-            .map(|(z, _)| z.to_string())
-            .collect()
+/// Names all types and zones of machines, also of those on offer.
+pub fn name_zones(l: &Leader, mirror: &Mirror, names: &mut Names) {
+    for t in mirror.types.iter().flatten() {
+        names.id(&t.name);
+        for z in &t.zones {
+            names.id(z);
+        }
+    }
+    for m in l.fleet.machines.values() {
+        names.id(&m.kind);
+        names.id(&m.zone);
     }
+    for w in l.workers.values() {
+        names.id(&w.zone);
+    }
+    for (r, _) in l.fleet.renting.values() {
+        names.id(&r.kind);
+        names.id(&r.zone);
+    }
+}
 
-    fn give_up(
-        &mut self,
-        clock: Clock,
-        hosts: &Hosts,
-        types: &[MachineType],
-        lag: Micros,
-        lacking: bool,
-    ) {
-        let now = clock.now;
-        let silent_zones = self.silent_zones(clock);
-        let Some(l) = &mut self.leader else { return };
-        let mut leave: Vec<(String, &str)> = Vec::new();
-        let learning = Micros::secs(self.settings.params.workers.cancel_s * 1.2);
-        // An operator who keeps machines up before there is work holds spare room worth its price.
-        let patience = if self.mirror.base.unwrap_or(0) > 0 {
-            Micros::secs(self.policy.idle_return_kept_s)
-        } else {
-            Micros::secs(self.policy.idle_return_s)
-        };
-        let mut idle = 0usize;
-        for (name, m) in &l.fleet.machines {
-            if m.leaving || m.failed {
-                continue;
-            }
-            let boot = types
-                .iter()
-                .find(|t| t.name == m.kind)
-                .map_or(Micros::millis(120_000), |t| Micros::secs(t.boot_s));
-            if !m.met {
-                let patience = boot.times(self.policy.boot_patience);
-                // A machine that is up may report to an older leader for a while: a new leader
-                // has to learn first who is there.
-                let learnt = if m.running { learning } else { lag };
-                if now.since(m.rented) > patience && now.since(l.since) > learnt {
-                    leave.push((name.clone(), "it does not come up"));
-                }
-                continue;
-            }
-            let Some(w) = l.workers.get(name) else {
-                continue;
-            };
-            let wait = if silent_zones.contains(&w.zone) {
-                boot.max(Micros::millis(30_000))
-            } else {
-                Micros::millis(5_000)
+/// Machines that are not there yet, or are about to take tasks, and what has been promised of them.
+struct Coming {
+    hosts: Vec<Host>,
+    /// What found no room on them, by reach.
+    vain: HashMap<u32, Vain>,
+}
+
+impl Coming {
+    fn add(&mut self, host: Option<Host>) {
+        if let Some(h) = host {
+            self.hosts.push(h);
+            // There is more room than before.
+            self.vain.clear();
+        }
+    }
+
+    /// Promises room to tasks; returns how many found none.
+    fn place<'j>(&mut self, need: &Need<'_>, n: u32, job: impl Fn() -> Option<&'j Job>) -> u32 {
+        let gang = need.gang;
+        let many = if gang { n } else { 1 };
+        let vain = self.vain.entry(need.reach).or_default();
+        if vain.covers(need.need, many) {
+            return n;
+        }
+        if gang {
+            let all = 0..self.hosts.len();
+            let shape = need.shape();
+            let spec = job().map(|j| &j.rec.spec);
+            let found = spec.and_then(|s| placement::gang(&self.hosts, all, "", s, &shape, n, 1.0));
+            let Some(found) = found else {
+                vain.add(need.need, n);
+                return n;
             };
-            if w.is_over() && now.since(w.heard) > wait {
-                let why = "its worker is silent and its lease has run out";
-                leave.push((name.clone(), why));
-                continue;
+            for h in found {
+                self.hosts[h].take(need.need);
             }
-            if !hosts.find(name).is_some_and(|h| hosts.list[h].empty()) {
-                continue;
+            return 0;
+        }
+        let mut left = n;
+        // The newest come last, and have room.
+        for h in self.hosts.iter_mut().rev() {
+            if left == 0 {
+                break;
             }
-            if sick(w, &self.policy) {
-                leave.push((name.clone(), "tasks of several jobs fail on it"));
+            if !need.allow.takes(h.kind, h.zone, h.spot) {
                 continue;
             }
-            idle += 1;
-            let long = w.idle_since.is_some_and(|t| now.since(t) > patience)
-                && now.since(l.since) > patience;
-            if long && !lacking && idle as f64 > self.policy.keep_idle {
-                leave.push((name.clone(), "idle"));
+            let k = slots(&h.free, need.need).min(left);
+            for (f, x) in h.free.iter_mut().zip(*need.need) {
+                *f -= x * k as f64;
             }
+            left -= k;
         }
-        for (name, why) in leave {
-            l.fleet.leave(&name, why);
+        if left > 0 {
+            vain.add(need.need, 1);
         }
-        // Tasks of cancelled jobs that cannot be confirmed gone in time go with their machine.
-        // A controller that renews the machine's lease behind a cut has told it to stop them, so
-        // this waits until just enough time is left for a few calls to the cloud.
-        let cancel_s = self.settings.params.workers.cancel_s;
-        let late = Micros::secs((cancel_s - 8.0).max(cancel_s * 0.6));
-        for (id, job) in &self.mirror.jobs {
-            if job.rec.stage != Stage::Cancelled || clock.wall < job.rec.end + late {
-                continue;
+        left
+    }
+}
+
+/// What to rent for what lacks room, unless we are too new to know, and what to return. `hosts`: as they
+/// are after this pass.
+#[allow(clippy::too_many_arguments)]
+pub fn plan<'a>(
+    l: &Leader,
+    mirror: &Mirror,
+    settings: &Settings,
+    policy: &Policy,
+    clock: Clock,
+    hosts: &Hosts<'_>,
+    rooms: &[Host],
+    names: &Names,
+    wants: &impl Wants<'a>,
+    lacks: &[Lack<'_>],
+    learnt: bool,
+) -> FleetPlan {
+    let now = clock.now;
+    let f = &l.fleet;
+    let lacking = !lacks.is_empty();
+    let silent_zones = silent_zones(l, settings, now);
+    let mut plan = FleetPlan {
+        leave: give_up(
+            l,
+            mirror,
+            settings,
+            policy,
+            clock,
+            hosts,
+            rooms,
+            &silent_zones,
+            lacking,
+        ),
+        // Nothing is rented before it is on record what was there without us.
+        ready: f.listed_once && mirror.base.is_some(),
+        ..FleetPlan::default()
+    };
+    if !plan.ready || !lacking || !learnt {
+        return plan;
+    }
+    let types: &[MachineType] = mirror.types.as_deref().unwrap_or_default();
+    let mut coming = Coming {
+        hosts: Vec::new(),
+        vain: HashMap::new(),
+    };
+    let mut count: BTreeMap<&str, usize> = BTreeMap::new();
+    let fresh = |kind: &str, zone: &str, spot: bool| {
+        let t = types.iter().find(|t| t.name == kind)?;
+        let total = [t.cpus, t.gpus, t.memory_gb];
+        Some(Host {
+            // All that is on offer has been named.
+            kind: names.find(kind).unwrap_or(u32::MAX),
+            zone: names.find(zone).unwrap_or(u32::MAX),
+            spot,
+            session: 0,
+            total,
+            free: total,
+            open: true,
+            images: Arc::default(),
+            reserved: None,
+        })
+    };
+    for (name, m) in f.machines.iter().filter(|(_, m)| !m.failed) {
+        *count.entry(&m.zone).or_default() += 1;
+        let lost =
+            silent_zones.contains(&m.zone) && l.workers.get(name).is_some_and(|w| w.is_over());
+        if (!m.met || lost) && !m.leaving {
+            coming.add(fresh(&m.kind, &m.zone, m.spot));
+        }
+        // One that has reported and not yet shown our term is about to take tasks. Left out, a
+        // wave of machines that come up together would be rented a second time.
+        if let Some(h) = hosts.find(name)
+            && l.workers.get(name).is_some_and(|w| w.term < l.term)
+            && !m.leaving
+        {
+            let mut host = rooms[h].clone();
+            host.open = true;
+            coming.add(Some(host));
+        }
+    }
+    for (r, _) in f.renting.values() {
+        for _ in 0..r.count {
+            coming.add(fresh(&r.kind, &r.zone, r.spot));
+        }
+        *count.entry(&r.zone).or_default() += r.count as usize;
+    }
+    let mut total: usize = count.values().sum();
+    let mut ordered = 0;
+    let most = policy.most_machines as usize;
+    // For what nothing is on offer, by reach.
+    let mut unoffered: HashMap<u32, Vain> = HashMap::new();
+    for lack in lacks {
+        // Promises are only made to find out what else to rent.
+        if ordered >= RENTED_A_PASS || (most > 0 && total >= most) {
+            break;
+        }
+        let need = wants.need(lack.of);
+        let job = || wants.job(lack.of).map(|(_, j)| j);
+        let mut left = coming.place(&need, lack.tasks, job);
+        let before_all = ordered;
+        while left > 0 && ordered < RENTED_A_PASS {
+            if most > 0 && total >= most {
+                break;
             }
-            for e in job.entries() {
-                if let Some(m) = e.machine()
-                    && l.presumed(id, e, false)
-                    && now.since(l.since) > Micros::secs(self.settings.params.workers.lease_s)
-                {
-                    l.fleet
-                        .leave(m, "a cancelled task cannot be confirmed gone");
-                }
+            let none = unoffered.entry(need.reach).or_default();
+            if none.covers(need.need, 1) {
+                break;
+            }
+            let found = job().and_then(|j| offer(&j.rec.spec, types, &f.refused, &count, now));
+            let Some((t, zone, spot)) = found else {
+                none.add(need.need, 1);
+                break;
+            };
+            coming.add(fresh(&t.name, zone, spot));
+            *count.entry(zone).or_default() += 1;
+            total += 1;
+            let order = (t.name.clone(), zone.to_string(), spot);
+            *plan.rent.entry(order).or_default() += 1;
+            ordered += 1;
+            let before = left;
+            left = coming.place(&need, left, job);
+            if left >= before && !need.gang {
+                break;
             }
         }
+        if ordered > before_all {
+            log::debug!(
+                "{}: {} of its tasks lack room, {} machines are rented for it",
+                wants.job(lack.of).map_or("", |(id, _)| id),
+                lack.tasks,
+                ordered - before_all
+            );
+        }
     }
+    plan
 }
 
-/// Puts tasks on machines that are coming; returns how many found no room.
-fn place_virtually(spec: &Spec, shape: &Shape, coming: &mut [Host], n: u32) -> u32 {
-    if spec.kind == Kind::Gang {
-        let Some(found) = placement::gang(coming, "", spec, shape, n, 1.0) else {
-            return n;
+/// Zones most of whose machines have fallen silent: more likely cut off than dead. Their
+/// machines are worth waiting for as long as new ones would take to boot.
+fn silent_zones(l: &Leader, settings: &Settings, now: Micros) -> BTreeSet<String> {
+    let mut heard: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+    let quiet = Micros::secs(settings.params.workers.report_s * 2.5);
+    for w in l.workers.values() {
+        let c = match heard.get_mut(w.zone.as_str()) {
+            Some(c) => c,
+            None => heard.entry(&w.zone).or_default(),
         };
-        for h in found {
-            coming[h].take(&shape.need);
-        }
-        return 0;
+        c.0 += 1;
+        c.1 += usize::from(now.since(w.heard) > quiet);
     }
-    let mut left = n;
-    // The newest come last, and have room.
-    for h in coming.iter_mut().rev() {
-        if left == 0 {
-            break;
+    heard
+        .into_iter()
+        .filter(|(_, (all, silent))| *silent >= 2 && silent * 2 > *all)
+        .map(|(z, _)| z.to_string())
+        .collect()
+}
+
+/// Machines to be returned, and why.
+#[allow(clippy::too_many_arguments)]
+fn give_up(
+    l: &Leader,
+    mirror: &Mirror,
+    settings: &Settings,
+    policy: &Policy,
+    clock: Clock,
+    hosts: &Hosts<'_>,
+    rooms: &[Host],
+    silent_zones: &BTreeSet<String>,
+    lacking: bool,
+) -> Vec<(String, &'static str)> {
+    let now = clock.now;
+    let types: &[MachineType] = mirror.types.as_deref().unwrap_or_default();
+    let lag = Micros::secs(settings.params.cloud.list_lag_s * 3.0);
+    let mut leave: Vec<(String, &'static str)> = Vec::new();
+    let learning = Micros::secs(settings.params.workers.cancel_s * 1.2);
+    // An operator who keeps machines up before there is work holds spare room worth its price.
+    let patience = if mirror.base.unwrap_or(0) > 0 {
+        Micros::secs(policy.idle_return_kept_s)
+    } else {
+        Micros::secs(policy.idle_return_s)
+    };
+    let mut idle = 0usize;
+    for (name, m) in &l.fleet.machines {
+        if m.leaving || m.failed {
+            continue;
+        }
+        let boot = types
+            .iter()
+            .find(|t| t.name == m.kind)
+            .map_or(Micros::millis(120_000), |t| Micros::secs(t.boot_s));
+        if !m.met {
+            let patience = boot.times(policy.boot_patience);
+            // A machine that is up may report to an older leader for a while: a new leader
+            // has to learn first who is there.
+            let learnt = if m.running { learning } else { lag };
+            if now.since(m.rented) > patience && now.since(l.since) > learnt {
+                leave.push((name.clone(), "it does not come up"));
+            }
+            continue;
+        }
+        let Some(w) = l.workers.get(name) else {
+            continue;
+        };
+        let wait = if silent_zones.contains(&w.zone) {
+            boot.max(Micros::millis(30_000))
+        } else {
+            Micros::millis(5_000)
+        };
+        if w.is_over() && now.since(w.heard) > wait {
+            let why = "its worker is silent and its lease has run out";
+            leave.push((name.clone(), why));
+            continue;
+        }
+        if !hosts.find(name).is_some_and(|h| rooms[h].empty()) {
+            continue;
         }
-        if !allowed(shape, h.kind, h.zone, h.spot) {
+        if sick(w, policy) {
+            leave.push((name.clone(), "tasks of several jobs fail on it"));
             continue;
         }
-        let k = slots(&h.free, &shape.need).min(left);
-        for (f, x) in h.free.iter_mut().zip(shape.need) {
-            *f -= x * k as f64;
+        idle += 1;
+        let long =
+            w.idle_since.is_some_and(|t| now.since(t) > patience) && now.since(l.since) > patience;
+        if long && !lacking && idle as f64 > policy.keep_idle {
+            leave.push((name.clone(), "idle"));
+        }
+    }
+    // Tasks of cancelled jobs that cannot be confirmed gone in time go with their machine.
+    // A controller that renews the machine's lease behind a cut has told it to stop them, so
+    // this waits until just enough time is left for a few calls to the cloud.
+    let cancel_s = settings.params.workers.cancel_s;
+    let late = Micros::secs((cancel_s - 8.0).max(cancel_s * 0.6));
+    // Such jobs still have places on record, so they are among those that have.
+    let ending = mirror
+        .ending()
+        .filter_map(|id| mirror.jobs.get_key_value(id));
+    for (id, job) in ending {
+        if job.rec.stage != Stage::Cancelled || clock.wall < job.rec.end + late {
+            continue;
+        }
+        for e in job.entries() {
+            if let Some(m) = e.machine()
+                && l.presumed(id, e, false)
+                && now.since(l.since) > Micros::secs(settings.params.workers.lease_s)
+            {
+                let why = "a cancelled task cannot be confirmed gone";
+                leave.push((m.to_string(), why));
+            }
         }
-        left -= k;
     }
-    left
+    leave
 }
 
 /// Where to rent a machine for a job: the cheapest type that fits, in the zone with the fewest
 /// machines; a gang that wants one zone stays in the first zone that is to be had.
-fn offer(
+fn offer<'t>(
     spec: &Spec,
-    types: &[MachineType],
-    refused: &BTreeMap<(String, String, bool), Micros>,
-    count: &BTreeMap<String, usize>,
-) -> Option<(String, String, bool)> {
+    types: &'t [MachineType],
+    refused: &BTreeMap<Offer, Micros>,
+    count: &BTreeMap<&str, usize>,
+    now: Micros,
+) -> Option<(&'t MachineType, &'t str, bool)> {
     let need = placement::need(spec);
-    let mut best: Option<(f64, usize, String, String, bool)> = None;
+    let mut best: Option<(f64, usize, &'t MachineType, &'t str, bool)> = None;
     for t in types {
         let n = slots(&[t.cpus, t.gpus, t.memory_gb], &need);
         if n == 0 {
@@ -695,7 +845,7 @@
                 let fits = (spec.spot || !spot)
                     && spec.types.as_ref().is_none_or(named)
                     && spec.zone.as_ref().is_none_or(|z| z == zone);
-                if !fits || refused.contains_key(&key) {
+                if !fits || refused.get(&key).is_some_and(|until| *until > now) {
                     continue;
                 }
                 // What saves loses little when its machine is taken; the rest takes spot machines only
@@ -708,13 +858,13 @@
                 let here = if spec.one_zone && spec.tasks > 1 {
                     0
                 } else {
-                    count.get(zone).copied().unwrap_or(0)
+                    count.get(zone.as_str()).copied().unwrap_or(0)
                 };
                 if best
                     .as_ref()
                     .is_none_or(|(p, c, ..)| (price, here) < (*p, *c))
                 {
-                    best = Some((price, here, t.name.clone(), zone.clone(), spot));
+                    best = Some((price, here, t, zone, spot));
                 }
             }
         }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -82,6 +82,8 @@
     pub started: u64,
     /// Order of the starts, by job and task.
     pub order_of: BTreeMap<String, BTreeMap<u32, u64>>,
+    /// What is kept from pass to pass.
+    pub kept: super::pass::Kept,
 }
 
 /// A worker unheard for this many report intervals gets no new tasks.
@@ -137,6 +139,7 @@
             b_max: 0.0,
             started: 0,
             order_of: BTreeMap::new(),
+            kept: Default::default(),
         }
     }
 
@@ -459,7 +462,9 @@
         let Some(l) = &mut self.leader else { return };
         for id in changed {
             l.dirty = true;
-            if let Some(job) = self.mirror.jobs.get(&id) {
+            let job = self.mirror.jobs.get(&id);
+            l.kept.backlog.update(&id, job);
+            if let Some(job) = job {
                 for m in job.entries().filter_map(Entry::machine) {
                     if !l.touched.contains(m) {
                         l.touched.insert(m.to_string());
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,7 +1,9 @@
 //! Leadership, the queue, placement, tasks and the fleet.
 
+pub mod backlog;
 pub mod bundling;
 pub mod edits;
+pub mod far;
 pub mod fleet;
 pub mod front;
 pub mod leader;
@@ -13,4 +15,6 @@
 pub mod queue;
 pub mod recovery;
 pub mod renewal;
+pub mod rooms;
+pub mod survey;
 pub mod tasks;
--- a/src/coordination/pipeline.rs
+++ b/src/coordination/pipeline.rs
@@ -20,9 +20,8 @@
         }
         // A priority goes up the graph as long as it lifts somebody; there are four of them, so this
         // ends however the jobs are connected.
-        let waiting = mirror.jobs.iter().filter(|(_, j)| j.active() && j.waits());
         let mut rising: Vec<(&Job, Priority)> =
-            waiting.map(|(_, j)| (j, j.rec.spec.priority)).collect();
+            mirror.waiting().map(|j| (j, j.rec.spec.priority)).collect();
         while let Some((job, priority)) = rising.pop() {
             for need in &job.rec.spec.needs {
                 let Some((id, needed)) = mirror.jobs.get_key_value(need) else {
@@ -40,7 +39,14 @@
 
     /// The highest priority of a job and of all that need it.
     pub fn of(&self, id: &str, job: &Job) -> Priority {
-        let own = job.rec.spec.priority;
+        self.over(id, job.rec.spec.priority)
+    }
+
+    /// The same, if the job's own priority is this.
+    pub fn over(&self, id: &str, own: Priority) -> Priority {
+        if self.0.is_empty() {
+            return own;
+        }
         self.0.get(id).map_or(own, |p| own.max(*p))
     }
 }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -4,8 +4,10 @@
 //! task changes the rank of one machine only.
 
 use crate::protocol::Spec;
+use foldhash::HashMap;
 use std::cmp::Ordering;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::BinaryHeap;
+use std::sync::Arc;
 
 /// CPUs, GPUs, memory.
 pub type Amounts = [f64; 3];
@@ -15,12 +17,12 @@
     [spec.cpus, spec.gpus, spec.memory_gb]
 }
 
-/// Numbers for names of types, zones and images, so that a pass compares no text. Made anew for
-/// each pass: nothing grows with the days.
+/// Numbers for names of teams, types, zones and images, so that a pass compares no text. Whoever keeps
+/// them from pass to pass begins anew now and then, or they would grow with the days.
 #[derive(Debug, Default)]
 pub struct Names {
-    ids: HashMap<String, u32>,
-    list: Vec<String>,
+    ids: HashMap<Arc<str>, u32>,
+    list: Vec<Arc<str>>,
 }
 
 impl Names {
@@ -30,14 +32,60 @@
             return *i;
         }
         let i = self.list.len() as u32;
-        self.list.push(name.to_string());
-        self.ids.insert(name.to_string(), i);
+        let name: Arc<str> = name.into();
+        self.list.push(name.clone());
+        self.ids.insert(name, i);
         i
     }
 
+    /// The number of a name, if it has one.
+    pub fn find(&self, name: &str) -> Option<u32> {
+        self.ids.get(name).copied()
+    }
+
     /// The name behind a number.
     pub fn name(&self, id: u32) -> &str {
-        self.list.get(id as usize).map_or("", String::as_str)
+        self.list.get(id as usize).map_or("", |n| n)
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.list.len()
+    }
+
+    /// There is none.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+}
+
+/// Which machines a job may use at all.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Allow {
+    /// Types; none: any.
+    pub kinds: Option<Vec<u32>>,
+    /// The only zone.
+    pub zone: Option<u32>,
+    /// Spot machines, too.
+    pub spot: bool,
+}
+
+impl Allow {
+    /// Of a job.
+    pub fn of(spec: &Spec, names: &mut Names) -> Allow {
+        let kinds = spec.types.as_ref();
+        Allow {
+            kinds: kinds.map(|t| t.iter().map(|k| names.id(k)).collect()),
+            zone: spec.zone.as_ref().map(|z| names.id(z)),
+            spot: spec.spot,
+        }
+    }
+
+    /// Whether a machine of this kind is among them.
+    pub fn takes(&self, kind: u32, zone: u32, spot: bool) -> bool {
+        (self.spot || !spot)
+            && self.kinds.as_ref().is_none_or(|t| t.contains(&kind))
+            && self.zone.is_none_or(|z| z == zone)
     }
 }
 
@@ -46,12 +94,8 @@
 pub struct Shape {
     /// What one task takes.
     pub need: Amounts,
-    /// Allowed types.
-    pub kinds: Option<Vec<u32>>,
-    /// The only allowed zone.
-    pub zone: Option<u32>,
-    /// May use spot machines.
-    pub spot: bool,
+    /// Which machines it may use.
+    pub allow: Arc<Allow>,
     /// Saves by itself, so that little is lost on a machine that is taken.
     pub saves: bool,
     /// Its image.
@@ -60,24 +104,6 @@
     pub avoid: Vec<usize>,
 }
 
-impl Shape {
-    /// Of a job.
-    pub fn of(spec: &Spec, names: &mut Names) -> Shape {
-        Shape {
-            need: need(spec),
-            kinds: spec
-                .types
-                .as_ref()
-                .map(|t| t.iter().map(|k| names.id(k)).collect()),
-            zone: spec.zone.as_ref().map(|z| names.id(z)),
-            spot: spec.spot,
-            saves: spec.saves(),
-            image: names.id(&spec.image),
-            avoid: Vec::new(),
-        }
-    }
-}
-
 /// A machine as the queue sees it.
 #[derive(Debug, Clone)]
 pub struct Host {
@@ -96,9 +122,9 @@
     /// Takes new tasks now.
     pub open: bool,
     /// Images it has or fetches.
-    pub images: Vec<u32>,
+    pub images: Arc<Vec<u32>>,
     /// Room is being made on it for this job; others keep off.
-    pub reserved: Option<String>,
+    pub reserved: Option<Arc<str>>,
 }
 
 impl Host {
@@ -114,13 +140,26 @@
         add(&mut self.free, need);
     }
 
+    /// It has the image, or fetches it.
+    pub fn has(&self, image: u32) -> bool {
+        self.images.contains(&image)
+    }
+
+    /// It will have the image.
+    pub fn gets(&mut self, image: u32) {
+        if !self.has(image) {
+            Arc::make_mut(&mut self.images).push(image);
+        }
+    }
+
     /// Nothing takes room on it.
     pub fn empty(&self) -> bool {
         (0..3).all(|r| self.free[r] >= self.total[r] - EPS)
     }
 }
 
-const EPS: f64 = 1e-6;
+/// Sums of amounts are off by less than this.
+pub const EPS: f64 = 1e-6;
 
 /// Adds what a task takes to some room.
 pub fn add(room: &mut Amounts, need: &Amounts) {
@@ -154,19 +193,12 @@
     -0.5 * a * a + l * ratio * a
 }
 
-/// Whether a job may use a machine of this kind at all.
-pub fn allowed(shape: &Shape, kind: u32, zone: u32, spot: bool) -> bool {
-    (shape.spot || !spot)
-        && shape.kinds.as_ref().is_none_or(|t| t.contains(&kind))
-        && shape.zone.is_none_or(|z| z == zone)
-}
-
 /// Whether a machine would take one task of this job.
-pub fn may_take(h: &Host, id: &str, shape: &Shape) -> bool {
+pub fn may_take(h: &Host, id: &str, need: &Amounts, allow: &Allow) -> bool {
     h.open
-        && slots(&h.free, &shape.need) > 0
+        && (0..3).all(|r| need[r] <= 0.0 || (h.free[r] + EPS) / need[r] >= 1.0)
         && h.reserved.as_deref().is_none_or(|r| r == id)
-        && allowed(shape, h.kind, h.zone, h.spot)
+        && allow.takes(h.kind, h.zone, h.spot)
 }
 
 /// How well a machine suits a task: one that has the image starts it at once; only then does the
@@ -201,7 +233,7 @@
     let l = slots(&h.total, &shape.need) as f64;
     Rank {
         spot: h.spot && shape.saves,
-        image: h.images.contains(&shape.image),
+        image: h.has(shape.image),
         weight: weight(a, l, ratio),
         host,
     }
@@ -221,9 +253,11 @@
 }
 
 impl<'a> Picker<'a> {
-    /// `keep_apart`: machines with a task of the job (`has`) come last.
+    /// Among the `candidates`, which hold all machines that would take a task. `keep_apart`: machines
+    /// with a task of the job (`has`) come last.
     pub fn new(
         hosts: &[Host],
+        candidates: impl Iterator<Item = usize>,
         id: &'a str,
         shape: &'a Shape,
         ratio: f64,
@@ -232,8 +266,9 @@
     ) -> Picker<'a> {
         let mut apart = Vec::new();
         let mut shared = Vec::new();
-        for (i, h) in hosts.iter().enumerate() {
-            if may_take(h, id, shape) && !shape.avoid.contains(&i) {
+        for i in candidates {
+            let h = &hosts[i];
+            if may_take(h, id, &shape.need, &shape.allow) && !shape.avoid.contains(&i) {
                 let list = if keep_apart && has(i) {
                     &mut shared
                 } else {
@@ -273,7 +308,7 @@
 
     /// The machine picked last has taken the task: it comes back with its new rank.
     pub fn taken(&mut self, hosts: &[Host], host: usize) {
-        if may_take(&hosts[host], self.id, self.shape) {
+        if may_take(&hosts[host], self.id, &self.shape.need, &self.shape.allow) {
             let r = rank(host, &hosts[host], self.shape, self.ratio);
             if self.keep_apart {
                 self.shared.push(r);
@@ -285,21 +320,20 @@
 }
 
 /// Places all `n` tasks of a gang or none: on one machine, else in one zone, else anywhere
-/// (unless the job wants one zone).
+/// (unless the job wants one zone). The `candidates` hold all machines that would take a task.
 pub fn gang(
     hosts: &[Host],
+    candidates: impl Iterator<Item = usize>,
     id: &str,
     spec: &Spec,
     shape: &Shape,
     n: u32,
     ratio: f64,
 ) -> Option<Vec<usize>> {
-    let mut order: Vec<Rank> = hosts
-        .iter()
-        .enumerate()
-        .filter(|(i, h)| may_take(h, id, shape) && !shape.avoid.contains(i))
-        .map(|(i, h)| rank(i, h, shape, ratio))
-        .collect();
+    let may =
+        |i: &usize| may_take(&hosts[*i], id, &shape.need, &shape.allow) && !shape.avoid.contains(i);
+    let all = candidates.filter(may);
+    let mut order: Vec<Rank> = all.map(|i| rank(i, &hosts[i], shape, ratio)).collect();
     order.sort_by(|a, b| b.cmp(a));
     let room = |r: &Rank| slots(&hosts[r.host].free, &shape.need);
     let half = if spec.spread { n.div_ceil(2) } else { n };
@@ -308,9 +342,19 @@
     {
         return Some(vec![r.host; n as usize]);
     }
-    let mut zones: Vec<u32> = order.iter().map(|r| hosts[r.host].zone).collect();
-    zones.sort_unstable();
-    zones.dedup();
+    // In the order of their first machines: numbers of names differ from leader to leader.
+    let mut open: Vec<u32> = order.iter().map(|r| hosts[r.host].zone).collect();
+    open.sort_unstable();
+    open.dedup();
+    let mut zones: Vec<u32> = Vec::with_capacity(open.len());
+    for h in hosts {
+        if zones.len() == open.len() {
+            break;
+        }
+        if open.contains(&h.zone) && !zones.contains(&h.zone) {
+            zones.push(h.zone);
+        }
+    }
     let fill = |zone: Option<u32>| {
         let mut taken: Vec<usize> = Vec::new();
         let mut per_zone: Vec<(u32, u32)> = zones.iter().map(|z| (*z, 0)).collect();
@@ -335,7 +379,7 @@
         // The slowest fetch decides when a gang starts: the zone where most of its tasks find their
         // image, and among equals the first.
         let fetches = |found: &Vec<usize>| {
-            let without = |h: &&usize| !hosts[**h].images.contains(&shape.image);
+            let without = |h: &&usize| !hosts[**h].has(shape.image);
             found.iter().filter(without).count()
         };
         let found = zones.iter().filter_map(|z| fill(Some(*z)));
@@ -360,7 +404,7 @@
         fits: impl Fn(usize, &Host) -> bool,
     ) -> Option<usize> {
         let all = hosts.iter().enumerate();
-        all.filter(|(i, h)| may_take(h, "j", shape) && fits(*i, h))
+        all.filter(|(i, h)| may_take(h, "j", &shape.need, &shape.allow) && fits(*i, h))
             .map(|(i, h)| rank(i, h, shape, ratio))
             .max()
             .map(|r| r.host)
@@ -380,15 +424,17 @@
                     total,
                     free: [64.0, rng.random_range(0..9) as f64, 256.0],
                     open: rng.random_bool(0.9),
-                    images: (20..24).filter(|_| rng.random_bool(0.4)).collect(),
-                    reserved: rng.random_bool(0.1).then(|| "other".to_string()),
+                    images: Arc::new((20..24).filter(|_| rng.random_bool(0.4)).collect()),
+                    reserved: rng.random_bool(0.1).then(|| "other".into()),
                 })
                 .collect();
             let shape = Shape {
                 need: [rng.random_range(1..20) as f64, 1.0, 10.0],
-                kinds: rng.random_bool(0.3).then(|| vec![1]),
-                zone: rng.random_bool(0.2).then_some(10),
-                spot: rng.random_bool(0.5),
+                allow: Arc::new(Allow {
+                    kinds: rng.random_bool(0.3).then(|| vec![1]),
+                    zone: rng.random_bool(0.2).then_some(10),
+                    spot: rng.random_bool(0.5),
+                }),
                 saves: rng.random_bool(0.5),
                 image: 21,
                 avoid: Vec::new(),
@@ -407,12 +453,14 @@
                     .or_else(|| scan(&plain, &shape, ratio, |_, h| zone(h)));
                 let Some(h) = found else { break };
                 plain[h].take(&shape.need);
-                plain[h].images.push(shape.image);
+                plain[h].gets(shape.image);
                 on[h] = true;
                 zones[plain[h].zone as usize] += 1;
                 expected.push(h);
             }
-            let mut picker = Picker::new(&hosts, "j", &shape, ratio, apart, |i| has[i]);
+            let mut picker = Picker::new(&hosts, 0..hosts.len(), "j", &shape, ratio, apart, |i| {
+                has[i]
+            });
             let mut zones = [0; 32];
             let mut got = Vec::new();
             for _ in 0..30 {
@@ -420,7 +468,7 @@
                     break;
                 };
                 hosts[h].take(&shape.need);
-                hosts[h].images.push(shape.image);
+                hosts[h].gets(shape.image);
                 zones[hosts[h].zone as usize] += 1;
                 picker.taken(&hosts, h);
                 got.push(h);
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -1,6 +1,15 @@
 //! One pass of BgMBFSDF over the arrival-ordered queue (the paper's algorithm 2).
+//!
+//! The pass meets two sorts of jobs. Those near have something placed, being written or in trouble; each
+//! is looked into. Those far have nothing anywhere, and there may be any number of them: a pass walks
+//! past them in the same order, and looks into one only if there may be room for it. What one of them
+//! looked for in vain is not looked for again on behalf of the next.
 
+use super::backlog::Brief;
+use super::far::Far;
 use super::placement::{self, Amounts, Host, Picker, Shape, slots};
+use super::recovery::Recovery;
+use super::rooms::{Rooms, Vain};
 use crate::protocol::{Kind, Micros, Priority, Spec};
 use std::collections::BTreeMap;
 
@@ -15,6 +24,10 @@
     pub spec: &'a Spec,
     /// The same, in numbers.
     pub shape: Shape,
+    /// Its team, by name.
+    pub team: u32,
+    /// Jobs with the same number find room in the same places.
+    pub reach: u32,
     /// How many of its tasks have lost a place.
     pub lost: u32,
     /// Tasks that may start (for a gang: all, or nothing is done).
@@ -54,16 +67,44 @@
     pub saves: bool,
     /// How long it takes to save.
     pub save_s: f64,
-    /// Its team.
-    pub team: &'a str,
+    /// Its team, by name.
+    pub team: u32,
     /// Runs beyond its team's guarantee.
     pub surplus: bool,
     /// Stops alone.
     pub single: bool,
 }
 
-/// A team's room: what it may still take.
-pub type Room = BTreeMap<String, [f64; 2]>;
+/// What teams may still take, by their names' numbers: CPUs and GPUs.
+#[derive(Debug, Default, Clone)]
+pub struct TeamRoom(Vec<[f64; 2]>);
+
+impl TeamRoom {
+    /// A team has this limit.
+    pub fn limit(&mut self, team: u32, most: [f64; 2]) {
+        let at = team as usize;
+        if self.0.len() <= at {
+            self.0.resize(at + 1, [f64::INFINITY; 2]);
+        }
+        self.0[at] = most;
+    }
+
+    /// A task of the team takes part of it.
+    pub fn take(&mut self, team: u32, need: &Amounts) {
+        if let Some(r) = self.0.get_mut(team as usize) {
+            r[0] -= need[0];
+            r[1] -= need[1];
+        }
+    }
+
+    /// How many tasks of the team it has room for.
+    fn slots(&self, team: u32, need: &Amounts) -> u32 {
+        match self.0.get(team as usize) {
+            Some([cpus, gpus]) => slots(&[*cpus, *gpus, f64::INFINITY], &[need[0], need[1], 0.0]),
+            None => u32::MAX,
+        }
+    }
+}
 
 /// A start that the pass decided on.
 #[derive(Debug, Clone, PartialEq)]
@@ -78,30 +119,40 @@
     pub backfilled: bool,
 }
 
+/// A job that a pass has met.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Met<'a> {
+    /// Number among those near.
+    Near(usize),
+    /// One far.
+    Far(&'a Brief),
+}
+
 /// Room that could not be found.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Lack {
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Lack<'a> {
     /// Job.
-    pub job: String,
-    /// What one of its tasks needs.
-    pub shape: Shape,
+    pub of: Met<'a>,
     /// How many tasks.
     pub tasks: u32,
 }
 
 /// What a pass decided.
 #[derive(Debug, Default)]
-pub struct Plan {
+pub struct Plan<'a> {
     /// Tasks to start.
     pub places: Vec<Place>,
     /// Tasks to stop: job and task.
     pub stops: Vec<(String, u32)>,
     /// Machines on which room is being made, and for which job.
     pub reserved: Vec<(usize, String)>,
-    /// What found no room.
-    pub lacks: Vec<Lack>,
+    /// What found no room, in the order in which it was met.
+    pub lacks: Vec<Lack<'a>>,
 }
 
+/// Most places of one pass; a gang may exceed it.
+pub const PLACES: usize = 128;
+
 /// Room is looked for on behalf of this many blocked jobs a pass, first come first: the work of a
 /// pass must not grow with the length of the queue times the size of the fleet.
 const MAKE_WAY: usize = 8;
@@ -110,170 +161,376 @@
 /// record and a start.
 const STOP_S: f64 = 2.0;
 
-/// What a machine to be rented must have; it is none of those that the job avoids.
-fn lacking(item: &Item<'_>) -> Shape {
-    Shape {
-        avoid: Vec::new(),
-        ..item.shape.clone()
+/// What decides whether anything may give way to a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Claim {
+    kind: Kind,
+    priority: Priority,
+    team: u32,
+    guaranteed: bool,
+    overdue: bool,
+    top: bool,
+}
+
+impl Claim {
+    fn of(item: &Item<'_>, top: bool) -> Claim {
+        Claim {
+            kind: item.spec.kind,
+            priority: item.priority,
+            team: item.team,
+            guaranteed: item.guaranteed,
+            overdue: item.guaranteed && item.overdue,
+            top,
+        }
+    }
+
+    /// Whether a task may be stopped for the job: what was backfilled, for the job at the top; what
+    /// has a lower priority, if it can save or makes room for replicas; and what other teams run
+    /// beyond their guarantees, for a job within its own.
+    fn over(&self, v: &Victim<'_>) -> bool {
+        let service = self.kind == Kind::Service;
+        let gang = self.kind == Kind::Gang;
+        let array = self.kind == Kind::Array;
+        let lower = v.priority < self.priority && (v.saves || service) && !array;
+        // A guarantee is given back by whoever runs beyond their own: at once by single tasks that
+        // lose little; by gangs, which stop as a whole, when nothing else has helped.
+        let surplus = v.surplus && v.team != self.team && (v.single || self.overdue);
+        let owed = self.guaranteed && surplus;
+        (self.top && gang && v.backfilled) || lower || owed
     }
 }
 
-fn team_slots(room: &Room, spec: &Spec) -> u32 {
-    let Some([cpus, gpus]) = room.get(&spec.team) else {
-        return u32::MAX;
+/// A pass on its way.
+struct Pass<'p, 'a> {
+    far: &'p Far<'a>,
+    rooms: &'p mut Rooms,
+    victims: &'p [Victim<'a>],
+    /// Victims that stop alone and save.
+    savers: Vec<&'p Victim<'a>>,
+    room: &'p mut TeamRoom,
+    typical: Amounts,
+    b_max: f64,
+    tries: usize,
+    /// What has found no room, by reach.
+    vain: Vec<Vain>,
+    /// Claims to which nothing gives way.
+    hopeless: Vec<Claim>,
+    plan: Plan<'a>,
+}
+
+/// Starts what fits, in order. `near`: in the order of `Recovery::order`; `b_max`: the largest demand
+/// seen, that of all these jobs included.
+pub fn pass<'a>(
+    near: &[Item<'a>],
+    far: &Far<'a>,
+    rooms: &mut Rooms,
+    victims: &[Victim<'a>],
+    room: &mut TeamRoom,
+    b_max: f64,
+) -> Plan<'a> {
+    let mut p = Pass {
+        far,
+        typical: rooms.first().map_or([1.0; 3], |h| h.total),
+        rooms,
+        victims,
+        savers: victims.iter().filter(|v| v.single && v.saves).collect(),
+        room,
+        b_max: b_max.max(1e-9),
+        tries: MAKE_WAY,
+        vain: vec![Vain::default(); far.reaches()],
+        hopeless: Vec::new(),
+        plan: Plan::default(),
     };
-    slots(&[*cpus, *gpus, f64::INFINITY], &[spec.cpus, spec.gpus, 0.0])
+    p.walk(near);
+    p.plan
 }
 
-fn take(host: &mut Host, room: &mut Room, item: &Item<'_>) {
-    host.take(&item.shape.need);
-    if let Some(r) = room.get_mut(&item.spec.team) {
-        r[0] -= item.spec.cpus;
-        r[1] -= item.spec.gpus;
+impl<'a> Pass<'_, 'a> {
+    fn full(&self) -> bool {
+        self.plan.places.len() >= PLACES
     }
-    if !host.images.contains(&item.shape.image) {
-        host.images.push(item.shape.image);
+
+    fn ratio(&self, tasks: u32, need: &Amounts) -> f64 {
+        tasks as f64 * placement::size(&self.typical, need) / self.b_max
     }
-}
 
-/// Starts what fits, in order; `b_max` is the largest demand seen and is raised here.
-pub fn pass(
-    items: &[Item<'_>],
-    hosts: &mut [Host],
-    victims: &[Victim<'_>],
-    room: &mut Room,
-    b_max: &mut f64,
-    most: usize,
-) -> Plan {
-    let mut plan = Plan::default();
-    let mut blocked = false;
-    let mut later: Vec<&Item<'_>> = Vec::new();
-    let typical = hosts.first().map_or([1.0; 3], |h| h.total);
-    let demand = |i: &Item<'_>| i.spec.tasks as f64 * placement::size(&typical, &i.shape.need);
-    let mut tries = MAKE_WAY;
-    for item in items {
-        *b_max = b_max.max(demand(item));
-        if plan.places.len() >= most {
-            break;
+    fn walk(&mut self, near: &[Item<'a>]) {
+        let far = self.far;
+        let mut replicas = far.replicas().peekable();
+        let mut others = far.others().peekable();
+        let mut here = near.iter().enumerate().peekable();
+        // The first gang or array that did not fit, by its arrival; later ones come afterwards.
+        let mut blocked: Option<(Micros, &str)> = None;
+        let mut later: Vec<(usize, &Item<'a>)> = Vec::new();
+        loop {
+            if self.full() {
+                return;
+            }
+            let replica = replicas.peek().map(|(at, _)| *at);
+            let other = others.peek().map(|(at, _)| *at);
+            let other = other.filter(|_| blocked.is_none());
+            let first = [replica, other].into_iter().flatten().min();
+            let next = match here.peek() {
+                Some((_, i)) if Recovery::first(i) => here.next(),
+                Some((_, i)) if first.is_none_or(|f| (i.at, i.id) < f) => here.next(),
+                _ if first.is_none() => break,
+                _ => None,
+            };
+            let (met, at, service, short, placed) = if let Some((n, item)) = next {
+                let service = item.spec.kind == Kind::Service;
+                if blocked.is_some() && !service {
+                    later.push((n, item));
+                    continue;
+                }
+                let before = self.plan.places.len();
+                let short = self.start(item, false);
+                let placed = self.plan.places.len() > before;
+                (Met::Near(n), (item.at, item.id), service, short, placed)
+            } else {
+                let service = first == replica;
+                let row = if service {
+                    replicas.next()
+                } else {
+                    others.next()
+                };
+                let Some((at, brief)) = row else { break };
+                let before = self.plan.places.len();
+                let short = self.visit(brief, false);
+                let placed = self.plan.places.len() > before;
+                (Met::Far(brief), at, service, short, placed)
+            };
+            if short == 0 {
+                continue;
+            }
+            self.plan.lacks.push(Lack {
+                of: met,
+                tasks: short,
+            });
+            if !placed {
+                self.press(near, met, at, blocked.is_none(), false);
+            }
+            if !service && blocked.is_none() {
+                blocked = Some(at);
+            }
+        }
+        let Some(blocked) = blocked else { return };
+        later.sort_by(|(_, a), (_, b)| a.estimate_s.total_cmp(&b.estimate_s));
+        let mut later = later.into_iter().peekable();
+        let mut rows = far.shortest().filter(|(_, at, _)| *at > blocked);
+        let mut row = rows.next();
+        while !self.full() {
+            let ours = later.peek().map(|(_, i)| (i.estimate_s, i.at, i.id));
+            let theirs = row.map(|(estimate, at, _)| (estimate, at.0, at.1));
+            let near_first = match (ours, theirs) {
+                (None, None) => break,
+                (Some(_), None) => true,
+                (None, Some(_)) => false,
+                (Some(a), Some(b)) => {
+                    let order = a.0.total_cmp(&b.0);
+                    order.then((a.1, a.2).cmp(&(b.1, b.2))).is_lt()
+                }
+            };
+            let (met, at, short) = if near_first {
+                let Some((n, item)) = later.next() else { break };
+                (Met::Near(n), (item.at, item.id), self.start(item, true))
+            } else {
+                let Some((_, at, brief)) = row else { break };
+                row = rows.next();
+                (Met::Far(brief), at, self.visit(brief, true))
+            };
+            if short > 0 {
+                self.plan.lacks.push(Lack {
+                    of: met,
+                    tasks: short,
+                });
+                self.press(near, met, at, false, true);
+            }
+        }
+    }
+
+    /// Starts what fits of a job far; returns how many tasks found no room, its team's limit aside.
+    fn visit(&mut self, row: &Brief, backfill: bool) -> u32 {
+        let form = self.far.form_of(row);
+        let gang = form.kind == Kind::Gang;
+        let n = far_tasks(gang, row);
+        let may = self.room.slots(form.team, &row.need).min(n);
+        if may == 0 || (gang && may < n) {
+            return 0;
         }
-        if blocked && item.spec.kind != Kind::Service {
-            later.push(item);
-            continue;
+        // Single tasks look for room one by one.
+        let many = if gang { n } else { 1 };
+        let vain = &mut self.vain[form.reach as usize];
+        if vain.covers(&row.need, many) {
+            return may;
         }
-        let before = plan.places.len();
-        let ratio = demand(item) / b_max.max(1e-9);
-        let short = start(item, hosts, room, ratio, false, victims, &mut plan);
-        if short == 0 {
-            continue;
+        if !self.rooms.any(&row.need, &form.allow) {
+            vain.add(&row.need, 1);
+            return may;
         }
-        plan.lacks.push(Lack {
-            job: item.id.to_string(),
-            shape: lacking(item),
-            tasks: short,
-        });
-        let presses = item.spec.kind != Kind::Array || item.guaranteed;
-        if presses && plan.places.len() == before && tries > 0 {
-            tries -= usize::from(make_way(item, hosts, victims, !blocked, &mut plan));
+        let Some(item) = self.far.item(row) else {
+            return 0;
+        };
+        let short = self.start(&item, backfill);
+        if gang && short > 0 {
+            self.vain[form.reach as usize].add(&row.need, n);
         }
-        blocked |= item.spec.kind != Kind::Service;
+        short
     }
-    later.sort_by(|a, b| a.estimate_s.total_cmp(&b.estimate_s));
-    for item in later {
-        if plan.places.len() >= most {
-            break;
+
+    /// Makes way for a blocked job, if it is one of those that press and something may give way.
+    fn press(
+        &mut self,
+        near: &[Item<'a>],
+        met: Met<'a>,
+        at: (Micros, &str),
+        top: bool,
+        later: bool,
+    ) {
+        if self.tries == 0 || self.victims.is_empty() {
+            return;
         }
-        let ratio = demand(item) / b_max.max(1e-9);
-        let short = start(item, hosts, room, ratio, true, victims, &mut plan);
-        if short > 0 {
-            plan.lacks.push(Lack {
-                job: item.id.to_string(),
-                shape: lacking(item),
-                tasks: short,
-            });
-            if (item.spec.kind == Kind::Gang || item.guaranteed) && tries > 0 {
-                tries -= usize::from(make_way(item, hosts, victims, false, &mut plan));
+        let presses = |kind: Kind, guaranteed: bool| match kind {
+            Kind::Gang => true,
+            Kind::Service => !later || guaranteed,
+            Kind::Array => guaranteed,
+        };
+        let made;
+        let (item, claim) = match met {
+            Met::Near(n) => {
+                let item = &near[n];
+                if !presses(item.spec.kind, item.guaranteed) {
+                    return;
+                }
+                let claim = Claim::of(item, top);
+                if self.hopeless.contains(&claim) {
+                    return;
+                }
+                (item, claim)
+            }
+            Met::Far(brief) => {
+                let form = self.far.form_of(brief);
+                let guaranteed = self.far.guaranteed(form.team, at);
+                if !presses(form.kind, guaranteed) {
+                    return;
+                }
+                let claim = Claim {
+                    kind: form.kind,
+                    priority: self.far.priority(form, at.1),
+                    team: form.team,
+                    guaranteed,
+                    overdue: guaranteed && self.far.overdue(brief),
+                    top,
+                };
+                if self.hopeless.contains(&claim) {
+                    return;
+                }
+                let Some(item) = self.far.item(brief) else {
+                    return;
+                };
+                made = item;
+                (&made, claim)
             }
+        };
+        match make_way(item, &claim, self.rooms, self.victims, &mut self.plan) {
+            Way::Kept => {}
+            // What gives way to nobody now will not do so later in this pass.
+            Way::None => self.hopeless.push(claim),
+            Way::Weighed => self.tries -= 1,
         }
     }
-    plan
-}
 
-/// Starts what fits of one job; returns how many tasks found no room (its team's limit aside).
-fn start(
-    item: &Item<'_>,
-    hosts: &mut [Host],
-    room: &mut Room,
-    ratio: f64,
-    backfill: bool,
-    victims: &[Victim<'_>],
-    plan: &mut Plan,
-) -> u32 {
-    let spec = item.spec;
-    let n = item.tasks.len() as u32;
-    let may = team_slots(room, spec).min(n);
-    if spec.kind == Kind::Gang {
-        if may < n {
+    fn take(&mut self, host: usize, item: &Item<'_>) {
+        self.rooms.take(host, &item.shape.need);
+        self.room.take(item.team, &item.shape.need);
+        self.rooms.gets(host, item.shape.image);
+    }
+
+    /// Starts what fits of one job; returns how many tasks found no room, its team's limit aside.
+    fn start(&mut self, item: &Item<'_>, backfill: bool) -> u32 {
+        let spec = item.spec;
+        let n = item.tasks.len() as u32;
+        let ratio = self.ratio(spec.tasks, &item.shape.need);
+        let may = self.room.slots(item.team, &item.shape.need).min(n);
+        let shape = &item.shape;
+        if spec.kind == Kind::Gang {
+            if may < n {
+                return 0;
+            }
+            let all = self.rooms.candidates(item.id, &shape.need, &shape.allow);
+            let all = all.into_iter();
+            let Some(found) = placement::gang(self.rooms, all, item.id, spec, shape, n, ratio)
+            else {
+                return n;
+            };
+            for (task, host) in item.tasks.iter().zip(found) {
+                self.take(host, item);
+                self.plan.places.push(Place {
+                    job: item.id.to_string(),
+                    task: *task,
+                    host,
+                    backfilled: backfill,
+                });
+            }
             return 0;
         }
-        let Some(found) = placement::gang(hosts, item.id, spec, &item.shape, n, ratio) else {
-            return n;
-        };
-        for (task, host) in item.tasks.iter().zip(found) {
-            take(&mut hosts[host], room, item);
-            plan.places.push(Place {
+        let service = spec.kind == Kind::Service;
+        let mut zones: Vec<u32> = item.present.iter().map(|(z, _)| *z).collect();
+        let half = spec.tasks.div_ceil(2) as usize;
+        let has = |i: usize| item.present.iter().any(|(_, m)| *m == Some(i));
+        let all = self.rooms.candidates(item.id, &shape.need, &shape.allow);
+        let all = all.into_iter();
+        let mut picker = Picker::new(self.rooms, all, item.id, shape, ratio, service, has);
+        let mut clearing = None;
+        for (k, task) in item.tasks.iter().take(may as usize).enumerate() {
+            let fits = |zone: u32| {
+                (!spec.one_zone || zones.iter().all(|z| *z == zone))
+                    && (!spec.spread || zones.iter().filter(|z| **z == zone).count() < half)
+            };
+            let Some(host) = picker.next(self.rooms, fits) else {
+                return may - k as u32;
+            };
+            if service && !self.rooms[host].has(shape.image) {
+                let cleared = |h: &&Host| {
+                    h.reserved.as_deref() == Some(item.id) && slots(&h.free, &shape.need) == 0
+                };
+                let count = || self.rooms.iter().filter(cleared).count();
+                let waits = clearing.get_or_insert_with(count);
+                if *waits > 0 {
+                    // It starts as soon as its place is clear.
+                    *waits -= 1;
+                    picker.back(self.rooms, host);
+                    continue;
+                }
+                if let Some(v) = in_the_way(item, self.rooms, &self.savers, fits) {
+                    self.plan.stops.push((v.job.to_string(), v.task));
+                    self.plan.reserved.push((v.host, item.id.to_string()));
+                    self.rooms.reserve(v.host, Some(item.id));
+                    zones.push(self.rooms[v.host].zone);
+                    picker.back(self.rooms, host);
+                    continue;
+                }
+            }
+            self.take(host, item);
+            picker.taken(self.rooms, host);
+            zones.push(self.rooms[host].zone);
+            self.plan.places.push(Place {
                 job: item.id.to_string(),
                 task: *task,
                 host,
-                backfilled: backfill,
+                backfilled: backfill && !service,
             });
         }
-        return 0;
+        0
     }
-    let service = spec.kind == Kind::Service;
-    let mut zones: Vec<u32> = item.present.iter().map(|(z, _)| *z).collect();
-    let half = spec.tasks.div_ceil(2) as usize;
-    let has = |i: usize| item.present.iter().any(|(_, m)| *m == Some(i));
-    let mut picker = Picker::new(hosts, item.id, &item.shape, ratio, service, has);
-    let mut clearing = None;
-    for (k, task) in item.tasks.iter().take(may as usize).enumerate() {
-        let fits = |zone: u32| {
-            (!spec.one_zone || zones.iter().all(|z| *z == zone))
-                && (!spec.spread || zones.iter().filter(|z| **z == zone).count() < half)
-        };
-        let Some(host) = picker.next(hosts, fits) else {
-            return may - k as u32;
-        };
-        if service && !hosts[host].images.contains(&item.shape.image) {
-            let cleared = |h: &&Host| {
-                h.reserved.as_deref() == Some(item.id) && slots(&h.free, &item.shape.need) == 0
-            };
-            let waits = clearing.get_or_insert_with(|| hosts.iter().filter(cleared).count());
-            if *waits > 0 {
-                // It starts as soon as its place is clear.
-                *waits -= 1;
-                picker.back(hosts, host);
-                continue;
-            }
-            if let Some(v) = in_the_way(item, hosts, victims, fits) {
-                plan.stops.push((v.job.to_string(), v.task));
-                plan.reserved.push((v.host, item.id.to_string()));
-                hosts[v.host].reserved = Some(item.id.to_string());
-                zones.push(hosts[v.host].zone);
-                picker.back(hosts, host);
-                continue;
-            }
-        }
-        take(&mut hosts[host], room, item);
-        picker.taken(hosts, host);
-        zones.push(hosts[host].zone);
-        plan.places.push(Place {
-            job: item.id.to_string(),
-            task: *task,
-            host,
-            backfilled: backfill && !service,
-        });
+}
+
+/// How many tasks of a job far a pass would start.
+pub fn far_tasks(gang: bool, row: &Brief) -> u32 {
+    if gang {
+        row.left
+    } else {
+        row.left.min(PLACES as u32)
     }
-    0
 }
 
 /// A task of a lower priority, saving and alone, that keeps a replica from a machine with its image,
@@ -281,63 +538,64 @@
 fn in_the_way<'a, 'b>(
     item: &Item<'_>,
     hosts: &[Host],
-    victims: &'a [Victim<'b>],
+    savers: &[&'a Victim<'b>],
     fits: impl Fn(u32) -> bool,
 ) -> Option<&'a Victim<'b>> {
-    let serves = |v: &&Victim<'_>| {
+    let serves = |v: &&'a Victim<'b>| {
         let h = &hosts[v.host];
         let room = || {
             let mut room = h.free;
             placement::add(&mut room, &v.need);
             room
         };
-        v.single
-            && v.saves
-            && v.priority < item.priority
+        v.priority < item.priority
             && item.fetch_s > 2.0 * (v.save_s + STOP_S)
             && h.open
             && h.reserved.is_none()
-            && h.images.contains(&item.shape.image)
+            && h.has(item.shape.image)
             && slots(&room(), &item.shape.need) > 0
-            && placement::allowed(&item.shape, h.kind, h.zone, h.spot)
+            && item.shape.allow.takes(h.kind, h.zone, h.spot)
             && !item.shape.avoid.contains(&v.host)
             && item.present.iter().all(|(_, m)| *m != Some(v.host))
             && fits(h.zone)
     };
-    victims.iter().filter(serves).max_by_key(|v| v.order)
+    let all = savers.iter().copied();
+    all.filter(serves).max_by_key(|v| v.order)
 }
 
-/// If a blocked job fits once others are gone, stops those on its room, latest first: what was
-/// backfilled, for the job at the top; what has a lower priority, if it can save or makes room for
-/// replicas; and what other teams run beyond their guarantees, for a job within its own. The
-/// machines are kept for the job until it has started. Tells whether there was anything to weigh.
+/// What came of looking for somebody to give way.
+enum Way {
+    /// Room is being made for the job already.
+    Kept,
+    /// Nothing gives way to such a job.
+    None,
+    /// What gives way was weighed.
+    Weighed,
+}
+
+/// If a blocked job fits once others are gone, stops those on its room, latest first, as far as its
+/// `claim` allows. The machines are kept for the job until it has started.
 fn make_way(
     item: &Item<'_>,
+    claim: &Claim,
     hosts: &[Host],
     victims: &[Victim<'_>],
-    top: bool,
-    plan: &mut Plan,
-) -> bool {
+    plan: &mut Plan<'_>,
+) -> Way {
     let kept = |h: &Host| h.reserved.as_deref() == Some(item.id);
     if hosts.iter().any(kept) {
-        return false;
+        return Way::Kept;
     }
-    let service = item.spec.kind == Kind::Service;
     let gang = item.spec.kind == Kind::Gang;
     let array = item.spec.kind == Kind::Array;
     let may = |v: &&Victim<'_>| {
-        let lower = v.priority < item.priority && (v.saves || service) && !array;
-        // A guarantee is given back by whoever runs beyond their own: at once by single tasks that
-        // lose little; by gangs, which stop as a whole, when nothing else has helped.
-        let surplus = v.surplus && v.team != item.spec.team && (v.single || item.overdue);
-        let owed = item.guaranteed && surplus;
-        hosts[v.host].reserved.is_none()
+        claim.over(v)
+            && hosts[v.host].reserved.is_none()
             && plan.reserved.iter().all(|(h, _)| *h != v.host)
-            && ((top && gang && v.backfilled) || lower || owed)
     };
     let victims: Vec<&Victim<'_>> = victims.iter().filter(may).collect();
     if victims.is_empty() {
-        return false;
+        return Way::None;
     }
     let mut without: Vec<Host> = hosts.to_vec();
     for (h, _) in &plan.reserved {
@@ -360,20 +618,22 @@
         let lost = |i: usize| (without[i].free[1] - hosts[i].free[1]).max(0.0);
         (0..without.len())
             .filter(|i| {
-                fits(&without[*i]) && placement::may_take(&without[*i], item.id, &item.shape)
+                let h = &without[*i];
+                fits(h) && placement::may_take(h, item.id, &need, &item.shape.allow)
             })
             .min_by(|a, b| {
-                let image = |i: usize| !without[i].images.contains(&item.shape.image);
+                let image = |i: usize| !without[i].has(item.shape.image);
                 (lost(*a), image(*a))
                     .partial_cmp(&(lost(*b), image(*b)))
                     .unwrap_or(std::cmp::Ordering::Equal)
             })
             .map(|i| vec![i])
     } else {
-        placement::gang(&without, item.id, item.spec, &item.shape, n, 1.0)
+        let all = 0..without.len();
+        placement::gang(&without, all, item.id, item.spec, &item.shape, n, 1.0)
     };
     let Some(found) = found else {
-        return true;
+        return Way::Weighed;
     };
     let mut by_host: BTreeMap<usize, u32> = BTreeMap::new();
     for h in found {
@@ -394,12 +654,17 @@
         }
         plan.reserved.push((h, item.id.to_string()));
     }
-    true
+    Way::Weighed
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::coordination::backlog::Backlog;
+    use crate::coordination::far::Scene;
+    use crate::coordination::pipeline::Lifted;
+    use crate::coordination::placement::Allow;
+    use std::sync::Arc;
 
     fn host(free: f64, images: &[u32]) -> Host {
         Host {
@@ -410,7 +675,7 @@
             total: [4.0; 3],
             free: [free; 3],
             open: true,
-            images: images.to_vec(),
+            images: Arc::new(images.to_vec()),
             reserved: None,
         }
     }
@@ -423,13 +688,17 @@
             lost: 0,
             shape: Shape {
                 need: [1.0; 3],
-                kinds: None,
-                zone: None,
-                spot: false,
+                allow: Arc::new(Allow {
+                    kinds: None,
+                    zone: None,
+                    spot: false,
+                }),
                 saves: false,
                 image: 7,
                 avoid: Vec::new(),
             },
+            team: 0,
+            reach: 0,
             tasks: vec![0],
             present: Vec::new(),
             fetch_s,
@@ -451,15 +720,36 @@
             priority,
             saves: true,
             save_s: 3.0,
-            team: "t",
+            team: 0,
             surplus: false,
             single: true,
         }
     }
 
-    fn run(item: Item<'_>, hosts: &mut [Host], victims: &[Victim<'_>]) -> Plan {
-        let mut room = Room::new();
-        pass(&[item], hosts, victims, &mut room, &mut 0.0, 10)
+    fn run(item: Item<'_>, hosts: &[Host], victims: &[Victim<'_>]) -> Plan<'static> {
+        let backlog = Backlog::default();
+        let scene = Scene {
+            backlog: &backlog,
+            jobs: &BTreeMap::new(),
+            within: Default::default(),
+            lifted: Lifted::default(),
+            fetch_rate: 1.0,
+            wall: Micros::ZERO,
+        };
+        let far = Far::new(&scene, [].into_iter());
+        let mut rooms = Rooms::new(hosts.to_vec());
+        let mut room = TeamRoom::default();
+        let mut plan = pass(&[item], &far, &mut rooms, victims, &mut room, 1.0);
+        let lacks = plan.lacks.drain(..).map(|l| Lack {
+            of: Met::Near(0),
+            tasks: l.tasks,
+        });
+        Plan {
+            lacks: lacks.collect(),
+            places: plan.places,
+            stops: plan.stops,
+            reserved: plan.reserved,
+        }
     }
 
     #[test]
@@ -471,22 +761,22 @@
         // Room without the image; and the image without room.
         let fleet = || [host(4.0, &[]), host(0.0, &[7])];
         let low = [victim(Priority::Low)];
-        let plan = run(item(&service, 20.0), &mut fleet(), &low);
+        let plan = run(item(&service, 20.0), &fleet(), &low);
         assert_eq!(plan.stops, [("req-1".to_string(), 3)]);
         assert_eq!(plan.reserved, [(1, "req-2".to_string())]);
         assert!(plan.places.is_empty() && plan.lacks.is_empty());
         // While that is being saved nothing else is stopped, and the replica waits.
         let mut clearing = fleet();
         clearing[1].reserved = Some("req-2".into());
-        let plan = run(item(&service, 20.0), &mut clearing, &low);
+        let plan = run(item(&service, 20.0), &clearing, &low);
         assert!(plan.stops.is_empty() && plan.places.is_empty() && plan.lacks.is_empty());
         // Then it takes the place.
         clearing[1].free = [1.0; 3];
-        let plan = run(item(&service, 20.0), &mut clearing, &[]);
+        let plan = run(item(&service, 20.0), &clearing, &[]);
         assert_eq!(plan.places[0].host, 1);
         // A short fetch, or a task of the same priority, is no reason to stop anything.
         for (fetch_s, priority) in [(9.0, Priority::Low), (20.0, Priority::Production)] {
-            let plan = run(item(&service, fetch_s), &mut fleet(), &[victim(priority)]);
+            let plan = run(item(&service, fetch_s), &fleet(), &[victim(priority)]);
             assert!(plan.stops.is_empty() && plan.places[0].host == 0);
         }
     }
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -97,10 +97,14 @@
         }
     }
 
-    /// Puts the queue into the order in which jobs are considered.
+    /// Whether a job comes ahead of its turn: a service that has lost replicas.
+    pub fn first(item: &Item<'_>) -> bool {
+        item.lost > 0 && item.spec.kind == Kind::Service
+    }
+
+    /// Puts jobs into the order in which they are considered.
     pub fn order(items: &mut [Item<'_>]) {
-        let first = |i: &Item<'_>| i.lost > 0 && i.spec.kind == Kind::Service;
-        items.sort_by_key(|i| (!first(i), i.at, i.id));
+        items.sort_by_key(|i| (!Recovery::first(i), i.at, i.id));
     }
 }
 
--- /dev/null
+++ b/src/coordination/rooms.rs
@@ -0,0 +1,310 @@
+//! Room on machines, kept in order while a pass fills it.
+//!
+//! Most jobs of a long queue find no room, and most machines of a full fleet have none. So machines are
+//! kept by how much is free on them: whether anything could take a task, and what could, is found
+//! without looking at the full ones.
+
+use super::placement::{Allow, Amounts, Host, may_take};
+use std::collections::BTreeMap;
+use std::ops::Deref;
+
+/// Room is told apart by this part of a machine.
+const PARTS: f64 = 64.0;
+/// Sums of amounts may be off by so much; well above what `placement::slots` forgives.
+const SLACK: f64 = 1e-5;
+
+/// How much is free, in parts of a machine of this kind, for each of the three amounts.
+type Level = [u8; 3];
+
+fn level(total: &Amounts, room: &Amounts, slack: f64) -> Level {
+    std::array::from_fn(|r| {
+        if total[r] > 0.0 {
+            ((room[r] + slack) / total[r] * PARTS)
+                .floor()
+                .clamp(0.0, 255.0) as u8
+        } else {
+            0
+        }
+    })
+}
+
+/// Machines of one type, zone and way of renting.
+#[derive(Debug, Clone)]
+struct Pool {
+    kind: u32,
+    zone: u32,
+    spot: bool,
+    total: Amounts,
+    levels: BTreeMap<Level, Vec<u32>>,
+}
+
+/// Where a machine is kept: its pool, its level, and its place among those.
+#[derive(Debug, Clone, Copy)]
+struct Seat {
+    pool: u32,
+    level: Level,
+    at: u32,
+}
+
+/// The machines of a pass with what is free on each.
+#[derive(Debug, Default, Clone)]
+pub struct Rooms {
+    hosts: Vec<Host>,
+    pools: Vec<Pool>,
+    /// None: it takes nothing new, and is kept nowhere.
+    seats: Vec<Option<Seat>>,
+}
+
+impl Deref for Rooms {
+    type Target = [Host];
+
+    fn deref(&self) -> &[Host] {
+        &self.hosts
+    }
+}
+
+impl Rooms {
+    /// Of these machines.
+    pub fn new(hosts: Vec<Host>) -> Rooms {
+        let mut rooms = Rooms::default();
+        for h in hosts {
+            rooms.push(h);
+        }
+        rooms
+    }
+
+    /// One more machine.
+    pub fn push(&mut self, host: Host) {
+        let i = self.hosts.len();
+        self.seats.push(None);
+        self.hosts.push(host);
+        self.seat(i);
+    }
+
+    fn pool(&mut self, h: usize) -> usize {
+        let h = &self.hosts[h];
+        let same =
+            |p: &Pool| (p.kind, p.zone, p.spot) == (h.kind, h.zone, h.spot) && p.total == h.total;
+        match self.pools.iter().position(same) {
+            Some(i) => i,
+            None => {
+                self.pools.push(Pool {
+                    kind: h.kind,
+                    zone: h.zone,
+                    spot: h.spot,
+                    total: h.total,
+                    levels: BTreeMap::new(),
+                });
+                self.pools.len() - 1
+            }
+        }
+    }
+
+    /// Keeps a machine where it belongs now.
+    fn seat(&mut self, h: usize) {
+        let host = &self.hosts[h];
+        let now = level(&host.total, &host.free, SLACK);
+        if let Some(s) = self.seats[h] {
+            if host.open && s.level == now {
+                return;
+            }
+            self.unseat(h, s);
+        }
+        if !self.hosts[h].open {
+            return;
+        }
+        let pool = self.pool(h);
+        let list = self.pools[pool].levels.entry(now).or_default();
+        self.seats[h] = Some(Seat {
+            pool: pool as u32,
+            level: now,
+            at: list.len() as u32,
+        });
+        list.push(h as u32);
+    }
+
+    fn unseat(&mut self, h: usize, s: Seat) {
+        self.seats[h] = None;
+        let levels = &mut self.pools[s.pool as usize].levels;
+        let Some(list) = levels.get_mut(&s.level) else {
+            return;
+        };
+        list.swap_remove(s.at as usize);
+        if let Some(moved) = list.get(s.at as usize)
+            && let Some(seat) = &mut self.seats[*moved as usize]
+        {
+            seat.at = s.at;
+        }
+        if list.is_empty() {
+            levels.remove(&s.level);
+        }
+    }
+
+    /// A task takes room.
+    pub fn take(&mut self, h: usize, need: &Amounts) {
+        self.hosts[h].take(need);
+        self.seat(h);
+    }
+
+    /// The machine will have the image.
+    pub fn gets(&mut self, h: usize, image: u32) {
+        self.hosts[h].gets(image);
+    }
+
+    /// The machine takes nothing new.
+    pub fn close(&mut self, h: usize) {
+        self.hosts[h].open = false;
+        self.seat(h);
+    }
+
+    /// Room is made on the machine for this job, or no longer.
+    pub fn reserve(&mut self, h: usize, job: Option<&str>) {
+        self.hosts[h].reserved = job.map(Into::into);
+    }
+
+    /// Machines with at least this much room, as far as levels tell.
+    fn roomy(&self, need: &Amounts, allow: &Allow) -> impl Iterator<Item = usize> {
+        let pools = self.pools.iter();
+        pools
+            .filter(|p| allow.takes(p.kind, p.zone, p.spot))
+            .flat_map(move |p| {
+                let least = level(&p.total, need, 0.0);
+                // The first of the three orders the map: smaller ones are not looked at.
+                p.levels
+                    .range([least[0], 0, 0]..)
+                    .filter(move |(l, _)| l[1] >= least[1] && l[2] >= least[2])
+                    .flat_map(|(_, list)| list.iter().map(|h| *h as usize))
+            })
+    }
+
+    /// Whether any machine would take a task that needs so much; none is kept for its job.
+    pub fn any(&self, need: &Amounts, allow: &Allow) -> bool {
+        self.roomy(need, allow)
+            .any(|h| may_take(&self.hosts[h], "", need, allow))
+    }
+
+    /// All machines that would take a task of this job, in no order.
+    pub fn candidates(&self, id: &str, need: &Amounts, allow: &Allow) -> Vec<usize> {
+        self.roomy(need, allow)
+            .filter(|h| may_take(&self.hosts[*h], id, need, allow))
+            .collect()
+    }
+}
+
+/// What has found no room: whatever needs as much or more, and is as many or more, finds none either,
+/// as long as room only gets less.
+#[derive(Debug, Default, Clone)]
+pub struct Vain(Vec<(Amounts, u32)>);
+
+/// More than these are not worth comparing with.
+const MOST_VAIN: usize = 24;
+
+impl Vain {
+    /// Whether `n` tasks that need so much each would look for room in vain.
+    pub fn covers(&self, need: &Amounts, n: u32) -> bool {
+        self.0
+            .iter()
+            .any(|(v, m)| *m <= n && (0..3).all(|r| v[r] <= need[r]))
+    }
+
+    /// They have looked in vain.
+    pub fn add(&mut self, need: &Amounts, n: u32) {
+        self.0
+            .retain(|(v, m)| !(n <= *m && (0..3).all(|r| need[r] <= v[r])));
+        if self.0.len() < MOST_VAIN {
+            self.0.push((*need, n));
+        }
+    }
+
+    /// There is more room than before.
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::coordination::placement::slots;
+    use rand::{RngExt, SeedableRng};
+    use rand_chacha::ChaCha8Rng;
+    use std::sync::Arc;
+
+    fn fleet(rng: &mut ChaCha8Rng) -> Vec<Host> {
+        let n = rng.random_range(1..60);
+        let host = |_| {
+            let kind = rng.random_range(0..2);
+            let total = [[64.0, 8.0, 256.0], [24.0, 0.0, 10.0]][kind as usize];
+            Host {
+                kind,
+                zone: rng.random_range(10..12),
+                spot: rng.random_bool(0.3),
+                session: 1,
+                total,
+                free: total.map(|t| (t * rng.random_range(0.0..1.05)).round()),
+                open: rng.random_bool(0.8),
+                images: Arc::default(),
+                reserved: rng.random_bool(0.1).then(|| "req-9".into()),
+            }
+        };
+        (0..n).map(host).collect()
+    }
+
+    #[test]
+    fn what_is_found_is_what_a_look_at_every_machine_finds() {
+        for seed in 0..2_000 {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let mut plain = fleet(&mut rng);
+            let mut rooms = Rooms::new(plain.clone());
+            let allow = Allow {
+                kinds: rng.random_bool(0.3).then(|| vec![0]),
+                zone: rng.random_bool(0.3).then_some(10),
+                spot: rng.random_bool(0.5),
+            };
+            for step in 0..30 {
+                let need: Amounts = [
+                    rng.random_range(0.0..30.0),
+                    [0.0, 1.0, 8.0][rng.random_range(0..3)],
+                    rng.random_range(0..90) as f64,
+                ];
+                for id in ["", "req-9"] {
+                    let fits = |h: &Host| {
+                        h.open
+                            && slots(&h.free, &need) > 0
+                            && h.reserved.as_deref().is_none_or(|r| r == id)
+                            && allow.takes(h.kind, h.zone, h.spot)
+                    };
+                    let all: Vec<usize> = (0..plain.len()).filter(|i| fits(&plain[*i])).collect();
+                    let mut found = rooms.candidates(id, &need, &allow);
+                    found.sort_unstable();
+                    assert_eq!(found, all, "seed {seed}, step {step}");
+                    if id.is_empty() {
+                        assert_eq!(rooms.any(&need, &allow), !all.is_empty(), "seed {seed}");
+                    }
+                    if let Some(h) = all.first() {
+                        plain[*h].take(&need);
+                        rooms.take(*h, &need);
+                    }
+                }
+                if rng.random_bool(0.1) {
+                    let h = rng.random_range(0..plain.len());
+                    plain[h].open = false;
+                    rooms.close(h);
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn more_of_the_same_looks_in_vain_as_well() {
+        let mut v = Vain::default();
+        v.add(&[4.0, 1.0, 8.0], 2);
+        assert!(v.covers(&[4.0, 1.0, 8.0], 2) && v.covers(&[5.0, 1.0, 9.0], 7));
+        assert!(!v.covers(&[4.0, 1.0, 8.0], 1) && !v.covers(&[3.0, 2.0, 8.0], 2));
+        // A smaller one takes the place of those that it covers.
+        v.add(&[1.0, 1.0, 1.0], 1);
+        assert_eq!(v.0.len(), 1);
+        v.clear();
+        assert!(!v.covers(&[9.0; 3], 9));
+    }
+}
--- /dev/null
+++ b/src/coordination/survey.rs
@@ -0,0 +1,458 @@
+//! What a pass sees: the machines, and each job of which something is placed, being written or in
+//! trouble. Looks only; what is to be done about what it finds is `pass`'s business.
+
+use super::backlog::{Row, Slot, Stand};
+use super::far::Scene;
+use super::leader::{FRESH_REPORTS, Leader, grace, sick};
+use super::node::Clock;
+use super::placement::{Host, Names};
+use super::policy::Policy;
+use super::queue::{Item, PLACES, TeamRoom, Victim};
+use super::recovery::Lost;
+use crate::bookkeeping::mirror::{Job, Mirror};
+use crate::bookkeeping::workers::{Standing, Worker};
+use crate::protocol::records::{CHUNK, Entry};
+use crate::protocol::wire::{Phase, Why};
+use crate::protocol::{Kind, Micros, Settings};
+use foldhash::{HashMap, HashMapExt};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// The machines as a pass sees them.
+pub struct Hosts<'a> {
+    /// The machines, with what is free on them.
+    pub list: Vec<Host>,
+    /// Their names, in the same order.
+    pub names: Vec<&'a str>,
+    workers: Vec<&'a Worker>,
+    index: HashMap<&'a str, u32>,
+}
+
+impl Hosts<'_> {
+    /// Index of a machine.
+    pub fn find(&self, machine: &str) -> Option<usize> {
+        self.index.get(machine).map(|i| *i as usize)
+    }
+}
+
+/// What a pass found out besides.
+#[derive(Debug, Default)]
+pub struct Findings {
+    /// Jobs that are over and of which nothing is anywhere.
+    pub cleans: Vec<String>,
+    /// Tasks that were reported as done and whose record does not say so.
+    pub dones: Vec<(String, u32)>,
+    /// Tasks to be stopped, with the grace they get.
+    pub stops: Vec<(String, u32, f64)>,
+    /// Gangs that have lost a member, with the attempt.
+    pub broken: Vec<(String, u64)>,
+    /// A job is held off for now: there has to be another pass.
+    pub held_off: bool,
+    /// Tasks without their places.
+    pub lost: Lost,
+    /// Tasks with a place on record.
+    pub placed: usize,
+}
+
+/// Which images a machine has, in numbers, as long as nothing on it changes.
+#[derive(Debug, Default)]
+pub struct KnownImages(HashMap<Arc<str>, Known>);
+
+#[derive(Debug)]
+struct Known {
+    version: u64,
+    cache_gb: f64,
+    list: Arc<Vec<u32>>,
+}
+
+/// Machines remembered there; those of long ago are forgotten all at once.
+const MOST_KNOWN: usize = 8_000;
+
+impl KnownImages {
+    fn of(
+        &mut self,
+        machine: &str,
+        cache_gb: f64,
+        mirror: &Mirror,
+        names: &mut Names,
+    ) -> Arc<Vec<u32>> {
+        let version = mirror.images.version(machine);
+        if let Some(k) = self.0.get(machine)
+            && (k.version, k.cache_gb) == (version, cache_gb)
+        {
+            return k.list.clone();
+        }
+        if self.0.len() > MOST_KNOWN {
+            self.0.clear();
+        }
+        let images = mirror.images.of(machine, cache_gb);
+        let list = Arc::new(images.map(|i| names.id(i)).collect::<Vec<u32>>());
+        let known = Known {
+            version,
+            cache_gb,
+            list: list.clone(),
+        };
+        self.0.insert(machine.into(), known);
+        list
+    }
+
+    /// Numbers of names have changed.
+    pub fn forget(&mut self) {
+        self.0.clear();
+    }
+}
+
+/// A pass looking around.
+pub struct Survey<'s, 'a> {
+    /// The leader.
+    pub leader: &'a Leader,
+    /// The records.
+    pub mirror: &'a Mirror,
+    /// Operators' settings.
+    pub policy: &'s Policy,
+    /// What is to be known of jobs.
+    pub scene: &'s Scene<'a>,
+    /// Now.
+    pub clock: Clock,
+    /// The machines.
+    pub hosts: Hosts<'a>,
+    /// What teams may still take.
+    pub room: TeamRoom,
+    /// Tasks that may have to make room.
+    pub victims: Vec<Victim<'a>>,
+    /// Jobs with tasks to start.
+    pub items: Vec<Item<'a>>,
+    /// Rows of all jobs looked into.
+    pub near: Vec<Slot>,
+    /// What else was found.
+    pub found: Findings,
+}
+
+/// The machines that are there, with all their room free.
+pub fn hosts<'a>(
+    l: &'a Leader,
+    s: &Settings,
+    policy: &Policy,
+    mirror: &Mirror,
+    names: &mut Names,
+    known: &mut KnownImages,
+    now: Micros,
+) -> Hosts<'a> {
+    let fresh = Micros::secs(s.params.workers.report_s * FRESH_REPORTS);
+    let n = l.workers.len();
+    let mut hosts = Hosts {
+        list: Vec::with_capacity(n),
+        names: Vec::with_capacity(n),
+        workers: Vec::with_capacity(n),
+        index: HashMap::with_capacity(n),
+    };
+    for (name, w) in &l.workers {
+        let mut types = mirror.types.iter().flatten();
+        let Some(t) = types.find(|t| t.name == w.kind) else {
+            continue;
+        };
+        if w.is_over() || l.fleet.is_gone(name) {
+            continue;
+        }
+        let open = w.term == l.term
+            && now < w.heard + fresh
+            && w.notice.is_none()
+            && !l.fleet.leaving(name)
+            && !sick(w, policy)
+            && !l.suspect(w, now);
+        let total = [t.cpus, t.gpus, t.memory_gb];
+        let reserved = l.reserved.get(name).filter(|(_, until)| *until > now);
+        hosts.index.insert(name, hosts.list.len() as u32);
+        hosts.names.push(name);
+        hosts.workers.push(w);
+        hosts.list.push(Host {
+            kind: names.id(&w.kind),
+            zone: names.id(&w.zone),
+            spot: w.spot,
+            session: w.session,
+            total,
+            free: total,
+            open,
+            images: known.of(name, t.cache_gb, mirror, names),
+            reserved: reserved.map(|(j, _)| j.as_str().into()),
+        });
+    }
+    hosts
+}
+
+/// A task whose place is on record, as `Survey::look` found it.
+struct Found {
+    standing: Standing,
+    host: Option<usize>,
+}
+
+impl<'a> Survey<'_, 'a> {
+    /// Looks into every job of which something is placed, being written, in trouble, or for which room
+    /// is being made.
+    pub fn all(&mut self) {
+        let l = self.leader;
+        let mut more: BTreeSet<&str> = l.edits.jobs().collect();
+        more.extend(l.troubles.keys().map(String::as_str));
+        more.extend(l.reserved.values().map(|(j, _)| j.as_str()));
+        let backlog = self.scene.backlog;
+        let more = more.into_iter().filter_map(|id| {
+            let (slot, row) = backlog.find(id)?;
+            (row.stand != Stand::Placed).then_some((&*row.id, slot))
+        });
+        // By their ids, as ever: who takes room first must not depend on what else is going on.
+        let mut more = more.peekable();
+        let mut placed = backlog.placed().peekable();
+        loop {
+            let next = match (placed.peek(), more.peek()) {
+                (Some(p), Some(m)) if m.0 < p.0 => more.next(),
+                (None, _) => more.next(),
+                _ => placed.next(),
+            };
+            let Some((id, slot)) = next else { break };
+            if let Some((id, job)) = self.scene.jobs.get_key_value(id)
+                && let Some(row) = backlog.row(slot)
+            {
+                self.near.push(slot);
+                let item = self.look(id, job, row);
+                self.items.extend(item);
+            }
+        }
+        self.unrecorded();
+    }
+
+    /// One lookup of a machine tells where an attempt stands and where its room is.
+    fn stand(&self, id: &str, e: &'a Entry, machine: &str) -> Found {
+        let host = self.hosts.find(machine);
+        let standing = match host {
+            Some(h) => self.hosts.workers[h].standing(
+                self.leader.term,
+                id,
+                e.task(),
+                e.attempt(),
+                e.session(),
+            ),
+            None => self.leader.standing(id, e),
+        };
+        Found { standing, host }
+    }
+
+    /// One job: takes its tasks' room, says what it wants, and what is to be done about it.
+    fn look(&mut self, id: &'a str, job: &'a Job, row: &Row) -> Option<Item<'a>> {
+        if row.stand == Stand::Needs {
+            // Nothing of it starts before the jobs that it needs are recorded as done; it takes no
+            // room and no place in the queue, and holds nobody up.
+            return None;
+        }
+        let l = self.leader;
+        let now = self.clock.now;
+        let spec = &job.rec.spec;
+        let active = row.active;
+        let form = self.scene.backlog.form_of(row);
+        let in_flight = l.edits.in_flight(id);
+        let chosen: Vec<&'a Entry> = l.edits.places(id).collect();
+        let stopping = l.stopping.get(id);
+        let broken = l.broken_gangs.get(id);
+        let order = l.order_of.get(id);
+        let guaranteed = self.scene.guaranteed(row);
+        let priority = self.scene.lifted.of(id, job);
+        let stopped = |task: u32| stopping.is_some_and(|s| s.contains_key(&task));
+        let mut present: Vec<(u32, Option<usize>)> = Vec::new();
+        // Tasks on record that are not to be started, and those that have lost their places.
+        let mut kept: Vec<u32> = Vec::new();
+        let mut without: Vec<u32> = Vec::new();
+        let mut lost = 0;
+        let mut latest = 0;
+        let mut unknown_zone = false;
+        let mut complete = false;
+        let mut runs = false;
+        let mut members: Vec<(u32, Standing)> = Vec::new();
+        // A task with a new place has been proven gone from the old one. To count that attempt as
+        // lost beside the new one would take the gang for broken before it has started.
+        let placing = |task: u32| chosen.iter().any(|c| c.task() == task);
+        let recorded = job.entries().filter(|e| !placing(e.task()));
+        let all = recorded.map(|e| (e, true));
+        for (e, recorded) in all.chain(chosen.iter().map(|e| (*e, false))) {
+            let Some(m) = e.machine() else { continue };
+            let at = self.stand(id, e, m);
+            let s = at.standing;
+            let wanted = || active && broken.is_none_or(|a| *a < e.attempt()) && !stopped(e.task());
+            let presumed = match s {
+                Standing::There(_) | Standing::Unclear => true,
+                Standing::NotStarted => wanted(),
+                Standing::Gone | Standing::Ended(_) => false,
+            };
+            if recorded {
+                if presumed || s == Standing::Ended(Why::Done) {
+                    kept.push(e.task());
+                } else if matches!(s, Standing::Gone | Standing::Ended(Why::Peers)) {
+                    // What was stopped or has failed was not lost; what went with its machine or its
+                    // gang was.
+                    without.push(e.task());
+                }
+            }
+            if !presumed {
+                lost += 1;
+                if s == Standing::Ended(Why::Done) && active && !in_flight {
+                    complete = spec.kind == Kind::Gang;
+                    self.found.dones.push((id.to_string(), e.task()));
+                }
+                continue;
+            }
+            latest = latest.max(e.attempt());
+            runs |= s == Standing::There(Phase::Running);
+            if spec.kind == Kind::Gang {
+                members.push((e.task(), s));
+            }
+            let zone = match at.host {
+                Some(h) => {
+                    let host = &mut self.hosts.list[h];
+                    host.take(&row.need);
+                    host.gets(row.image);
+                    // A machine that the cloud is about to take: what can save does so now,
+                    // a gang as a whole.
+                    let notice = self.hosts.workers[h].notice;
+                    let save = grace(job);
+                    if save > 0.0
+                        && notice.is_some_and(|n| n > now + Micros::secs(spec.save_s))
+                        && s == Standing::There(Phase::Running)
+                    {
+                        let all = match spec.kind {
+                            Kind::Gang => 0..spec.tasks,
+                            _ => e.task()..e.task() + 1,
+                        };
+                        let all = all.map(|t| (id.to_string(), t, save));
+                        self.found.stops.extend(all);
+                    }
+                    let single = spec.kind == Kind::Array || spec.tasks == 1;
+                    if spec.kind != Kind::Service
+                        && active
+                        && chosen.is_empty()
+                        && !in_flight
+                        && !stopped(e.task())
+                    {
+                        let order = order.and_then(|o| o.get(&e.task()));
+                        self.victims.push(Victim {
+                            job: id,
+                            task: e.task(),
+                            host: h,
+                            need: row.need,
+                            order: order.copied().unwrap_or(0),
+                            backfilled: e.backfilled(),
+                            priority,
+                            saves: single && spec.saves(),
+                            save_s: spec.save_s,
+                            team: form.team,
+                            surplus: !guaranteed,
+                            single: spec.kind == Kind::Array,
+                        });
+                    }
+                    self.hosts.list[h].zone
+                }
+                None => match l.zone_of(m).and_then(|z| self.scene.backlog.names.find(&z)) {
+                    Some(z) => z,
+                    None => {
+                        unknown_zone = true;
+                        u32::MAX
+                    }
+                },
+            };
+            self.room.take(form.team, &row.need);
+            present.push((zone, at.host));
+        }
+        self.found.placed += present.len() + lost;
+        if !active {
+            if present.is_empty() && !in_flight {
+                self.found.cleans.push(id.to_string());
+            }
+            return None;
+        }
+        // They complete together: the others are not lost when one has reported it first.
+        if complete {
+            return None;
+        }
+        if spec.kind == Kind::Gang && !present.is_empty() {
+            if lost > 0 {
+                self.found.broken.push((id.to_string(), latest));
+                // Members that save on command are left to it.
+                let saving = Standing::There(Phase::Saving);
+                if members.iter().all(|(_, s)| *s != saving) {
+                    let all = members.iter().map(|(t, _)| (id.to_string(), *t, 0.0));
+                    self.found.stops.extend(all);
+                }
+            }
+            return None;
+        }
+        // A job that fails wherever it is tried waits longer and longer, unless tasks of it do run.
+        let trouble = l.troubles.get(id);
+        let held_off = trouble.is_some_and(|t| t.again > now) && !runs && row.left == row.tasks;
+        // More replicas of a job may be placed while some are being written: if they had to wait, jobs
+        // that came later would take their room. Of other jobs an end may be among what is written.
+        if (in_flight && spec.kind != Kind::Service) || held_off {
+            self.found.held_off |= held_off;
+            return None;
+        }
+        // Zones of tasks nobody can place are unknown: such a job waits.
+        if (spec.one_zone || spec.spread) && unknown_zone {
+            return None;
+        }
+        let taken =
+            |t: u32| kept.binary_search(&t).is_ok() || placing(t) || l.edits.finishing(id, t);
+        let tasks = startable(job, taken);
+        if tasks.is_empty() {
+            return None;
+        }
+        let gone = |t: &&u32| without.binary_search(t).is_ok();
+        let lost = tasks.iter().filter(gone).count();
+        self.found.lost.add(spec.kind, lost);
+        let mut item = self.scene.item(id, job, row, tasks);
+        item.present = present;
+        item.lost = lost as u32;
+        if let Some(t) = trouble {
+            let machines = t.machines.keys();
+            item.shape.avoid = machines.filter_map(|m| self.hosts.find(m)).collect();
+        }
+        Some(item)
+    }
+
+    /// Tasks that workers report and no record places take room as well.
+    fn unrecorded(&mut self) {
+        for h in 0..self.hosts.workers.len() {
+            let w = self.hosts.workers[h];
+            for t in w.tasks.iter().filter(|t| t.phase != Phase::Exited) {
+                let Some(j) = self.scene.jobs.get(&t.job) else {
+                    self.hosts.list[h].open = false;
+                    continue;
+                };
+                let on = |e: &Entry| {
+                    (e.task(), e.attempt()) == (t.task, t.attempt) && e.machine().is_some()
+                };
+                if !j.entry(t.task).is_some_and(on)
+                    && !self.leader.edits.places(&t.job).any(on)
+                    && let Some((_, row)) = self.scene.backlog.find(&t.job)
+                {
+                    self.hosts.list[h].take(&row.need);
+                }
+            }
+        }
+    }
+}
+
+/// Tasks of a job that may start: not done, and not taken. At most a pass's worth for arrays.
+fn startable(job: &Job, taken: impl Fn(u32) -> bool) -> Vec<u32> {
+    let spec = &job.rec.spec;
+    let most = match spec.kind {
+        Kind::Gang => spec.tasks as usize,
+        _ => PLACES,
+    };
+    let mut tasks = Vec::new();
+    for c in 0..spec.tasks.div_ceil(CHUNK) {
+        let done = job.chunk_of(c * CHUNK).map_or(0, |ch| ch.done);
+        let of_chunk = c * CHUNK..spec.tasks.min((c + 1) * CHUNK);
+        let open = of_chunk.filter(|t| done & (1 << (t % CHUNK)) == 0 && !taken(*t));
+        tasks.extend(open.take(most - tasks.len()));
+        if tasks.len() >= most {
+            break;
+        }
+    }
+    tasks
+}
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// What a job's tasks do together.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Kind {
     /// Independent tasks, each runs to completion.
     #[serde(rename = "sweep")]
@@ -18,7 +18,7 @@
 }
 
 /// Priority, highest last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Priority {
     /// Lowest.
     #[serde(rename = "best_effort")]
--- /dev/null
+++ b/tests/passes.rs
@@ -0,0 +1,424 @@
+//! Passes over the queue that is kept decide what a pass decides that looks at every job and every
+//! machine anew: the same starts in the same order, the same stops, the same room made.
+
+mod plain;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use walnuttrestle::bookkeeping::mirror::Mirror;
+use walnuttrestle::bookkeeping::workers::Worker;
+use walnuttrestle::coordination::edits::Edit;
+use walnuttrestle::coordination::leader::{Leader, Trouble};
+use walnuttrestle::coordination::node::Clock;
+use walnuttrestle::coordination::pass::{self, Decision};
+use walnuttrestle::coordination::policy::Policy;
+use walnuttrestle::protocol::records::{Chunk, Entry, JobRec, Stage, TYPES};
+use walnuttrestle::protocol::settings::Team;
+use walnuttrestle::protocol::wire::{
+    MachineType, MachineTypes, Phase, Report, TaskReport, Why, to_value,
+};
+use walnuttrestle::protocol::{Kind, Micros, Priority, Settings, Spec};
+
+const SETTINGS: &str = r#"
+member="kernel-0"
+zone="a"
+serve_on="127.0.0.1:1"
+internal_addr="127.0.0.1:2"
+[external]
+cloud="127.0.0.1:3"
+state="127.0.0.1:4"
+[params]
+zones=["a","b"]
+[params.workers]
+report_s=5.0
+lease_s=26.5
+gang_wait_s=45.0
+gang_peer_s=5.0
+cancel_s=46.5
+[params.state]
+rps=250.0
+write_rps=60.0
+value_kb=4.0
+txn_ops=8
+[params.cloud]
+rps=12.0
+list_lag_s=8.0
+[params.limits]
+core_share=0.4
+mem_mb=208.0
+sockets=3744
+"#;
+
+/// A leader's state that changes at random, with what it keeps from pass to pass.
+struct Chaos {
+    rng: ChaCha8Rng,
+    settings: Settings,
+    mirror: Mirror,
+    leader: Leader,
+    kept: pass::Kept,
+    clock: Clock,
+    version: u64,
+    seqs: BTreeMap<String, u64>,
+    jobs: u32,
+    /// Nobody's limit may bind: then what lacks room is compared, too.
+    unlimited: bool,
+}
+
+fn types() -> MachineTypes {
+    let t = |name: &str, cpus: f64, gpus: f64| MachineType {
+        name: name.into(),
+        cpus,
+        gpus,
+        memory_gb: 4.0 * cpus,
+        cache_gb: 20.0,
+        fetch_gb_per_s: 0.4,
+        price: 1.0,
+        spot_price: 0.4,
+        boot_s: 45.0,
+        zones: vec!["a".into(), "b".into()],
+    };
+    MachineTypes {
+        types: vec![t("big", 64.0, 8.0), t("small", 24.0, 4.0)],
+    }
+}
+
+impl Chaos {
+    fn new(seed: u64) -> Chaos {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut settings = Settings::parse("passes.toml", SETTINGS).expect("settings");
+        let unlimited = rng.random_bool(0.5);
+        for name in ["red", "blue"] {
+            let limit = |rng: &mut ChaCha8Rng| rng.random_range(10..80) as f64;
+            settings.params.teams.push(Team {
+                name: name.into(),
+                cpus: 0.0,
+                cpus_max: 0.0,
+                gpus: [0.0, limit(&mut rng)][rng.random_range(0..2)],
+                gpus_max: if unlimited { 0.0 } else { limit(&mut rng) },
+            });
+        }
+        let clock = Clock {
+            now: Micros::millis(1_000_000),
+            wall: Micros::millis(9_000_000),
+        };
+        let begun = Clock {
+            now: Micros::millis(rng.random_range(900_000..1_000_000)),
+            ..clock
+        };
+        let mut leader = Leader::new(rng.random_range(1..3), 1, begun);
+        leader.strangers_over = rng.random_bool(0.5);
+        let mut mirror = Mirror::default();
+        mirror.put(TYPES, to_value(&types()), 1);
+        let mut c = Chaos {
+            rng,
+            settings,
+            mirror,
+            leader,
+            kept: pass::Kept::default(),
+            clock,
+            version: 1,
+            seqs: BTreeMap::new(),
+            jobs: 0,
+            unlimited,
+        };
+        for m in 0..c.rng.random_range(1..25) {
+            c.report(m);
+        }
+        for _ in 0..c.rng.random_range(3..60) {
+            c.job();
+        }
+        c
+    }
+
+    fn chance(&mut self, p: f64) -> bool {
+        self.rng.random_bool(p)
+    }
+
+    fn spec(&mut self) -> Spec {
+        let rng = &mut self.rng;
+        let kind = [Kind::Array, Kind::Array, Kind::Gang, Kind::Service][rng.random_range(0..4)];
+        let priorities = [
+            Priority::Low,
+            Priority::Normal,
+            Priority::High,
+            Priority::Production,
+        ];
+        Spec {
+            class: "c".into(),
+            team: ["red", "blue"][rng.random_range(0..2)].into(),
+            kind,
+            priority: priorities[rng.random_range(0..4)],
+            tasks: match kind {
+                Kind::Array => rng.random_range(1..70),
+                _ => rng.random_range(1..9),
+            },
+            cpus: rng.random_range(1..12) as f64 * 0.7,
+            gpus: [0.0, 1.0, 1.0, 4.0, 8.0][rng.random_range(0..5)],
+            memory_gb: rng.random_range(1..40) as f64,
+            image: format!("img-{}", rng.random_range(0..6)),
+            image_gb: rng.random_range(1..12) as f64,
+            types: rng.random_bool(0.1).then(|| vec!["small".into()]),
+            zone: rng.random_bool(0.1).then(|| "b".into()),
+            one_zone: rng.random_bool(0.3),
+            spread: rng.random_bool(0.2),
+            spot: rng.random_bool(0.5),
+            estimate_s: rng.random_range(1..12) as f64,
+            checkpoint_s: [0.0, 20.0][rng.random_range(0..2)],
+            save_s: rng.random_range(0..4) as f64,
+            deadline_s: None,
+            needs: Vec::new(),
+        }
+    }
+
+    /// A new job, or another state of one that is there.
+    fn job(&mut self) {
+        let spec = match self.chance(0.3) && self.jobs > 0 {
+            true => {
+                let id = format!("req-{}", self.rng.random_range(0..self.jobs));
+                match self.mirror.jobs.get(&id) {
+                    Some(j) => (id, j.rec.spec.clone(), j.rec.at),
+                    None => return,
+                }
+            }
+            false => {
+                self.jobs += 1;
+                let at = Micros::millis(9_000_000 - self.rng.random_range(0..100_000));
+                (format!("req-{}", self.jobs - 1), self.spec(), at)
+            }
+        };
+        let (id, spec, at) = spec;
+        let mut first = Chunk::default();
+        let machines: Vec<String> = self.leader.workers.keys().cloned().collect();
+        // Most jobs of a long queue have nothing anywhere.
+        let placed = self.chance(0.35) && !machines.is_empty();
+        for t in 0..spec.tasks.min(48) {
+            if placed && self.chance(0.6) {
+                let at = self.rng.random_range(0..machines.len() + 1);
+                let machine = machines.get(at).cloned().unwrap_or_default();
+                let attempt = self.rng.random_range(1..3);
+                let session = self.rng.random_range(1..3);
+                let backfilled = self.chance(0.4);
+                first.set(Entry(t, attempt, machine, session, 1, backfilled));
+            } else if spec.kind != Kind::Service && self.chance(0.1) {
+                first.finish(t);
+            }
+        }
+        let stage = [Stage::Active, Stage::Cancelled][usize::from(self.chance(0.05))];
+        let rec = JobRec {
+            spec,
+            at,
+            stage,
+            end: self.clock.wall,
+            first,
+            cleaned: false,
+        };
+        self.version += 1;
+        self.mirror.put_job(&id, rec, self.version);
+    }
+
+    /// A machine tells of itself; most of what is on record there runs.
+    fn report(&mut self, m: u32) {
+        let machine = format!("n-{m:03}");
+        let rng = &mut self.rng;
+        let seq = self.seqs.entry(machine.clone()).or_default();
+        *seq += 1;
+        let mut tasks = Vec::new();
+        for (job, t) in self.mirror.placed(&machine) {
+            let entry = self.mirror.jobs.get(job).and_then(|j| j.entry(*t));
+            if rng.random_bool(0.8)
+                && let Some(e) = entry
+            {
+                let phases = [
+                    Phase::Running,
+                    Phase::Running,
+                    Phase::Fetching,
+                    Phase::Saving,
+                    Phase::Exited,
+                ];
+                let phase = phases[rng.random_range(0..phases.len())];
+                let whys = [Why::Done, Why::Error, Why::Peers, Why::Stopped];
+                tasks.push(TaskReport {
+                    task: format!("{job}/{t}"),
+                    attempt: e.attempt(),
+                    phase,
+                    why: (phase == Phase::Exited).then(|| whys[rng.random_range(0..4)]),
+                    saved: None,
+                });
+            }
+        }
+        if rng.random_bool(0.03) {
+            tasks.push(TaskReport {
+                task: "req-7/0".into(),
+                attempt: 9,
+                phase: Phase::Running,
+                why: None,
+                saved: None,
+            });
+        }
+        let report = Report {
+            machine: machine.clone(),
+            address: "127.0.0.1:9".into(),
+            kind: ["big", "small"][m as usize % 2].into(),
+            zone: ["a", "b"][m as usize / 2 % 2].into(),
+            spot: m % 5 == 4,
+            session: 1 + u64::from(*seq > 6),
+            seq: *seq,
+            term: if rng.random_bool(0.9) {
+                self.leader.term
+            } else {
+                0
+            },
+            notice_s: rng.random_bool(0.05).then_some(12.0),
+            tasks,
+        };
+        let new = || Worker::new(&report);
+        let w = self.leader.workers.entry(machine.clone());
+        w.or_insert_with(new).update(&report, self.clock.now);
+        self.leader.fleet.met(&machine, &report, self.clock.now);
+    }
+
+    /// Something happens.
+    fn happens(&mut self) {
+        let machines: Vec<String> = self.leader.workers.keys().cloned().collect();
+        let jobs: Vec<String> = self.mirror.jobs.keys().cloned().collect();
+        let any = |rng: &mut ChaCha8Rng, of: &[String]| match of.len() {
+            0 => "req-0".to_string(),
+            n => of[rng.random_range(0..n)].clone(),
+        };
+        let (id, machine) = (any(&mut self.rng, &jobs), any(&mut self.rng, &machines));
+        let now = self.clock.now;
+        match self.rng.random_range(0..9) {
+            0..3 => self.job(),
+            3 | 4 => {
+                let m = self.rng.random_range(0..25);
+                self.report(m);
+            }
+            5 => {
+                if let Some(w) = self.leader.workers.get_mut(&machine) {
+                    w.over = Some(w.session);
+                }
+            }
+            6 => {
+                let of = self.leader.stopping.entry(id).or_default();
+                of.insert(self.rng.random_range(0..5), (1.0, now));
+            }
+            7 => {
+                let trouble = Trouble {
+                    machines: BTreeMap::from([(machine, now)]),
+                    row: 1,
+                    again: Micros::millis(self.rng.random_range(999_000..1_002_000)),
+                };
+                self.leader.troubles.insert(id, trouble);
+            }
+            _ => {
+                let until = Micros::millis(1_001_000);
+                self.leader.reserved.insert(machine, (id, until));
+            }
+        }
+    }
+
+    /// Both ways decide the same.
+    fn compare(&mut self, at: &str) -> Decision {
+        for id in self.mirror.take_changed() {
+            let job = self.mirror.jobs.get(&id);
+            self.kept.backlog.update(&id, job);
+        }
+        let policy = Policy::default();
+        let mut lacks = Vec::new();
+        let new = pass::decide(
+            &self.leader,
+            &mut self.kept,
+            &self.mirror,
+            &self.settings,
+            &policy,
+            self.clock,
+            Some(&mut lacks),
+        );
+        let old = plain::decide(
+            &self.leader,
+            &self.mirror,
+            &self.settings,
+            &policy,
+            self.clock,
+        );
+        assert_eq!(new.starts, old.starts, "{at}");
+        assert_eq!(new.stops, old.stops, "{at}");
+        assert_eq!(new.reserved, old.reserved, "{at}");
+        assert_eq!(new.b_max, old.b_max, "{at}");
+        assert_eq!(new.found.cleans, old.cleans, "{at}");
+        assert_eq!(new.found.dones, old.dones, "{at}");
+        assert_eq!(new.found.stops, old.ordered_stops, "{at}");
+        assert_eq!(new.found.broken, old.broken, "{at}");
+        if self.unlimited {
+            assert_eq!(lacks, old.lacks, "{at}");
+        }
+        new
+    }
+
+    /// What was decided is on its way to the records, partly.
+    fn follow(&mut self, d: Decision) {
+        let now = self.clock.now;
+        self.leader.b_max = d.b_max;
+        for (machine, id) in d.reserved {
+            let until = Micros::millis(1_001_000);
+            self.leader.reserved.insert(machine, (id, until));
+        }
+        for (id, task) in d.stops {
+            let of = self.leader.stopping.entry(id).or_default();
+            of.insert(task, (1.0, now));
+        }
+        for s in d.starts {
+            self.leader.started += 1;
+            let order = self.leader.order_of.entry(s.job.clone()).or_default();
+            order.insert(s.task, self.leader.started);
+            let entry = Entry(s.task, 5, s.machine, s.session, 1, s.backfilled);
+            if self.rng.random_bool(0.5) {
+                self.leader.edits.want(&s.job, now).places.push(entry);
+            } else if self.rng.random_bool(0.5) {
+                let Some(job) = self.mirror.jobs.get(&s.job) else {
+                    continue;
+                };
+                let mut rec = job.rec.clone();
+                if s.task < 48 {
+                    rec.first.set(entry);
+                }
+                self.version += 1;
+                self.mirror.put_job(&s.job, rec, self.version);
+            }
+        }
+        let wanted: Vec<String> = self.leader.edits.jobs().map(str::to_string).collect();
+        for id in wanted {
+            let places = self
+                .leader
+                .edits
+                .wanted_of(&id)
+                .map(|e: &Edit| e.places.clone());
+            if let Some(places) = places.filter(|p| !p.is_empty())
+                && self.rng.random_bool(0.3)
+            {
+                self.leader.edits.fly_places(&id, Vec::new(), places);
+            }
+        }
+    }
+}
+
+#[test]
+fn passes_over_the_kept_queue_decide_as_plain_ones_do() {
+    let mut starts = 0;
+    let mut stops = 0;
+    for seed in 0..1_200 {
+        let mut c = Chaos::new(seed);
+        for step in 0..6 {
+            let d = c.compare(&format!("seed {seed}, step {step}"));
+            starts += d.starts.len();
+            stops += d.stops.len();
+            c.follow(d);
+            for _ in 0..c.rng.random_range(0..8) {
+                c.happens();
+            }
+        }
+    }
+    // Else the comparison would say nothing.
+    assert!(starts > 20_000 && stops > 300, "{starts} {stops}");
+}
--- /dev/null
+++ b/tests/plain/mod.rs
@@ -0,0 +1,757 @@
+//! A pass as it was made before the queue was kept (its version of 2026-12-01, commit 8b93c06): every
+//! job is surveyed, sorted and tried against every machine. Kept as the plain reference to which the
+//! scheduler's passes are compared, and as what they are measured against. The largest demand counts
+//! before the walk, as it does now; all else is as it was.
+
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use walnuttrestle::bookkeeping::mirror::{Job, Mirror};
+use walnuttrestle::bookkeeping::workers::Standing;
+use walnuttrestle::coordination::leader::{FRESH_REPORTS, Leader, Trouble, grace, sick};
+use walnuttrestle::coordination::node::Clock;
+use walnuttrestle::coordination::pass::Start;
+use walnuttrestle::coordination::pipeline::Lifted;
+use walnuttrestle::coordination::placement::{
+    self, Allow, Host, Names, Picker, Shape, may_take, slots,
+};
+use walnuttrestle::coordination::policy::Policy;
+use walnuttrestle::coordination::queue::{Item, Victim};
+use walnuttrestle::protocol::records::{CHUNK, Entry};
+use walnuttrestle::protocol::wire::{Phase, Why};
+use walnuttrestle::protocol::{Kind, Micros, Settings, Spec};
+
+const PLACES: usize = 128;
+const OVERDUE: Micros = Micros::millis(60_000);
+
+/// What a pass decides, in the words of `pass::Decision`.
+#[derive(Debug, Default)]
+pub struct Plain {
+    pub starts: Vec<Start>,
+    pub stops: Vec<(String, u32)>,
+    pub reserved: Vec<(String, String)>,
+    pub lacks: Vec<(String, u32)>,
+    pub b_max: f64,
+    pub cleans: Vec<String>,
+    pub dones: Vec<(String, u32)>,
+    pub ordered_stops: Vec<(String, u32, f64)>,
+    pub broken: Vec<(String, u64)>,
+}
+
+struct Hosts {
+    list: Vec<Host>,
+    names: Vec<String>,
+    index: HashMap<String, usize>,
+}
+
+impl Hosts {
+    fn find(&self, machine: &str) -> Option<usize> {
+        self.index.get(machine).copied()
+    }
+}
+
+type Room = BTreeMap<String, [f64; 2]>;
+
+#[derive(Default)]
+struct Plan {
+    places: Vec<(String, u32, usize, bool)>,
+    stops: Vec<(String, u32)>,
+    reserved: Vec<(usize, String)>,
+    lacks: Vec<(String, u32)>,
+}
+
+/// One pass.
+pub fn decide(
+    l: &Leader,
+    mirror: &Mirror,
+    settings: &Settings,
+    policy: &Policy,
+    clock: Clock,
+) -> Plain {
+    let now = clock.now;
+    let mut names = Names::default();
+    let mut hosts = hosts(l, settings, policy, mirror, &mut names, now);
+    let mut room: Room = Room::new();
+    for t in &settings.params.teams {
+        let most = |v: f64| if v > 0.0 { v } else { f64::INFINITY };
+        room.insert(t.name.clone(), [most(t.cpus_max), most(t.gpus_max)]);
+    }
+    let mut victims: Vec<Victim<'_>> = Vec::new();
+    let mut items: Vec<Item<'_>> = Vec::new();
+    let mut found = Plain::default();
+    let within = guaranteed(settings, mirror);
+    let lifted = Lifted::new(mirror);
+    let rates = mirror.types.iter().flatten().map(|t| t.fetch_gb_per_s);
+    let fetch_rate = rates.fold(f64::INFINITY, f64::min).max(1e-3);
+    for (id, job) in &mirror.jobs {
+        let item = survey(
+            l,
+            id,
+            job,
+            &mut hosts,
+            &mut names,
+            &mut room,
+            &mut victims,
+            &mut found,
+            within.contains(id.as_str()),
+            &lifted,
+            fetch_rate,
+            clock,
+        );
+        items.extend(item);
+    }
+    unrecorded(l, mirror, &mut hosts);
+    let first = |i: &Item<'_>| i.lost > 0 && i.spec.kind == Kind::Service;
+    items.sort_by_key(|i| (!first(i), i.at, i.id));
+    for h in &mut hosts.list {
+        if h.reserved
+            .as_ref()
+            .is_some_and(|r| items.iter().all(|i| i.id != &**r))
+        {
+            h.reserved = None;
+        }
+    }
+    if !l.learnt(settings, now) {
+        victims.clear();
+    }
+    let typical = hosts.list.first().map_or([1.0; 3], |h| h.total);
+    let waits = mirror.jobs.values().filter(|j| j.active() && !j.waits());
+    let demands = waits.map(|j| {
+        let s = &j.rec.spec;
+        s.tasks as f64 * placement::size(&typical, &placement::need(s))
+    });
+    found.b_max = demands.fold(l.b_max, f64::max);
+    let b_max = found.b_max;
+    let plan = pass(&items, &mut hosts.list, &victims, &mut room, b_max, PLACES);
+    let start = |(job, task, host, backfilled): (String, u32, usize, bool)| Start {
+        job,
+        task,
+        machine: hosts.names[host].clone(),
+        session: hosts.list[host].session,
+        backfilled,
+    };
+    found.starts = plan.places.into_iter().map(start).collect();
+    found.stops = plan.stops;
+    let reserved = plan.reserved.into_iter();
+    found.reserved = reserved.map(|(h, j)| (hosts.names[h].clone(), j)).collect();
+    found.lacks = plan.lacks;
+    found
+}
+
+fn hosts(
+    l: &Leader,
+    s: &Settings,
+    policy: &Policy,
+    mirror: &Mirror,
+    names: &mut Names,
+    now: Micros,
+) -> Hosts {
+    let fresh = Micros::secs(s.params.workers.report_s * FRESH_REPORTS);
+    let mut hosts = Hosts {
+        list: Vec::with_capacity(l.workers.len()),
+        names: Vec::with_capacity(l.workers.len()),
+        index: HashMap::with_capacity(l.workers.len()),
+    };
+    for (name, w) in &l.workers {
+        let types = mirror.types.iter().flatten();
+        let Some(t) = types.into_iter().find(|t| t.name == w.kind) else {
+            continue;
+        };
+        if w.is_over() || l.fleet.is_gone(name) {
+            continue;
+        }
+        let open = w.term == l.term
+            && now < w.heard + fresh
+            && w.notice.is_none()
+            && !l.fleet.leaving(name)
+            && !sick(w, policy)
+            && !l.suspect(w, now);
+        let total = [t.cpus, t.gpus, t.memory_gb];
+        hosts.index.insert(name.clone(), hosts.list.len());
+        hosts.names.push(name.clone());
+        hosts.list.push(Host {
+            kind: names.id(&w.kind),
+            zone: names.id(&w.zone),
+            spot: w.spot,
+            session: w.session,
+            total,
+            free: total,
+            open,
+            images: mirror
+                .images
+                .of(name, t.cache_gb)
+                .map(|i| names.id(i))
+                .collect::<Vec<u32>>()
+                .into(),
+            reserved: l
+                .reserved
+                .get(name)
+                .filter(|(_, until)| *until > now)
+                .map(|(j, _)| j.as_str().into()),
+        });
+    }
+    hosts
+}
+
+#[allow(clippy::too_many_arguments)]
+fn survey<'a>(
+    l: &Leader,
+    id: &'a str,
+    job: &'a Job,
+    hosts: &mut Hosts,
+    names: &mut Names,
+    room: &mut Room,
+    victims: &mut Vec<Victim<'a>>,
+    found: &mut Plain,
+    guaranteed: bool,
+    lifted: &Lifted<'_>,
+    fetch_rate: f64,
+    clock: Clock,
+) -> Option<Item<'a>> {
+    if job.waits() {
+        // Nothing of it starts before the jobs that it needs are recorded as done; it takes no
+        // room and no place in the queue, and holds nobody up.
+        return None;
+    }
+    let priority = lifted.of(id, job);
+    let team = names.id(&job.rec.spec.team);
+    let now = clock.now;
+    let spec = &job.rec.spec;
+    let shape = Shape {
+        need: placement::need(spec),
+        allow: Arc::new(Allow::of(spec, names)),
+        saves: spec.saves(),
+        image: names.id(&spec.image),
+        avoid: Vec::new(),
+    };
+    let in_flight = l.edits.in_flight(id);
+    let chosen: Vec<Entry> = l.edits.places(id).cloned().collect();
+    let mut present: Vec<(u32, Option<usize>)> = Vec::new();
+    let mut lost = 0;
+    let mut latest = 0;
+    let mut unknown_zone = false;
+    let mut complete = false;
+    let mut runs = false;
+    let mut standing: Vec<(u32, Standing)> = Vec::new();
+    // A task with a new place has been proven gone from the old one. To count that attempt as
+    // lost beside the new one would take the gang for broken before it has started.
+    let replaced = |e: &&Entry| chosen.iter().any(|c| c.task() == e.task());
+    let recorded = job.entries().filter(|e| !replaced(e));
+    for e in recorded.chain(&chosen) {
+        let Some(m) = e.machine() else { continue };
+        let s = l.standing(id, e);
+        if !l.presumed(id, e, job.active()) {
+            lost += 1;
+            if s == Standing::Ended(Why::Done) && job.active() && !in_flight {
+                complete = spec.kind == Kind::Gang;
+                found.dones.push((id.to_string(), e.task()));
+            }
+            continue;
+        }
+        latest = latest.max(e.attempt());
+        runs |= s == Standing::There(Phase::Running);
+        if spec.kind == Kind::Gang {
+            standing.push((e.task(), s));
+        }
+        let at = hosts.find(m);
+        let zone = match at {
+            Some(h) => {
+                let host = &mut hosts.list[h];
+                host.take(&shape.need);
+                host.gets(shape.image);
+                // A machine that the cloud is about to take: what can save does so now,
+                // a gang as a whole.
+                let notice = l.workers.get(m).and_then(|w| w.notice);
+                let save = grace(job);
+                if save > 0.0
+                    && notice.is_some_and(|n| n > now + Micros::secs(spec.save_s))
+                    && s == Standing::There(Phase::Running)
+                {
+                    let all = match spec.kind {
+                        Kind::Gang => 0..spec.tasks,
+                        _ => e.task()..e.task() + 1,
+                    };
+                    let all = all.map(|t| (id.to_string(), t, save));
+                    found.ordered_stops.extend(all);
+                }
+                let single = spec.kind == Kind::Array || spec.tasks == 1;
+                if spec.kind != Kind::Service
+                    && job.active()
+                    && chosen.is_empty()
+                    && !in_flight
+                    && l.stop_of(id, e.task()).is_none()
+                {
+                    let order = l.order_of.get(id).and_then(|o| o.get(&e.task()));
+                    victims.push(Victim {
+                        job: id,
+                        task: e.task(),
+                        host: h,
+                        need: shape.need,
+                        order: order.copied().unwrap_or(0),
+                        backfilled: e.backfilled(),
+                        priority,
+                        saves: single && spec.saves(),
+                        save_s: spec.save_s,
+                        team,
+                        surplus: !guaranteed,
+                        single: spec.kind == Kind::Array,
+                    });
+                }
+                host.zone
+            }
+            None => match l.zone_of(m) {
+                Some(z) => names.id(&z),
+                None => {
+                    unknown_zone = true;
+                    u32::MAX
+                }
+            },
+        };
+        if let Some(r) = room.get_mut(&spec.team) {
+            r[0] -= spec.cpus;
+            r[1] -= spec.gpus;
+        }
+        present.push((zone, at));
+    }
+    if !job.active() {
+        if present.is_empty() && !in_flight {
+            found.cleans.push(id.to_string());
+        }
+        return None;
+    }
+    // They complete together: the others are not lost when one has reported it first.
+    if complete {
+        return None;
+    }
+    if spec.kind == Kind::Gang && !present.is_empty() {
+        if lost > 0 {
+            found.broken.push((id.to_string(), latest));
+            // Members that save on command are left to it.
+            let saving = Standing::There(Phase::Saving);
+            if standing.iter().all(|(_, s)| *s != saving) {
+                let all = standing.iter().map(|(t, _)| (id.to_string(), *t, 0.0));
+                found.ordered_stops.extend(all);
+            }
+        }
+        return None;
+    }
+    // A job that fails wherever it is tried waits longer and longer, unless tasks of it do run.
+    let trouble = l.troubles.get(id);
+    let held_off = trouble.is_some_and(|t| t.again > now) && !runs && job.done_count() == 0;
+    // More replicas of a job may be placed while some are being written: if they had to wait, jobs
+    // that came later would take their room. Of other jobs an end may be among what is written.
+    if (in_flight && spec.kind != Kind::Service) || held_off {
+        return None;
+    }
+    let avoid = |t: &Trouble| t.machines.keys().filter_map(|m| hosts.find(m)).collect();
+    let shape = Shape {
+        avoid: trouble.map(avoid).unwrap_or_default(),
+        ..shape
+    };
+    // Zones of tasks nobody can place are unknown: such a job waits.
+    if (spec.one_zone || spec.spread) && unknown_zone {
+        return None;
+    }
+    let tasks = startable(l, id, job, PLACES);
+    if tasks.is_empty() {
+        return None;
+    }
+    // What was stopped or has failed was not lost; what went with its machine or its gang was.
+    let gone = |t: &u32| {
+        job.entry(*t).is_some_and(|e| {
+            let s = l.standing(id, e);
+            e.machine().is_some() && matches!(s, Standing::Gone | Standing::Ended(Why::Peers))
+        })
+    };
+    let lost = tasks.iter().filter(|t| gone(t)).count();
+    Some(Item {
+        id,
+        at: job.rec.at,
+        lost: lost as u32,
+        spec,
+        shape,
+        team,
+        reach: 0,
+        tasks,
+        present,
+        fetch_s: spec.image_gb / fetch_rate,
+        estimate_s: spec.estimate_s,
+        priority,
+        guaranteed,
+        overdue: clock.wall.since(job.released) > OVERDUE,
+    })
+}
+
+fn unrecorded(l: &Leader, mirror: &Mirror, hosts: &mut Hosts) {
+    for (h, name) in hosts.names.iter().enumerate() {
+        let Some(w) = l.workers.get(name) else {
+            continue;
+        };
+        for t in w.tasks.iter().filter(|t| t.phase != Phase::Exited) {
+            match mirror.jobs.get(&t.job) {
+                Some(j) => {
+                    let on = |e: &Entry| {
+                        (e.task(), e.attempt()) == (t.task, t.attempt) && e.machine().is_some()
+                    };
+                    let known = j.entry(t.task).is_some_and(on) || l.edits.places(&t.job).any(on);
+                    if !known {
+                        let s = &j.rec.spec;
+                        hosts.list[h].take(&[s.cpus, s.gpus, s.memory_gb]);
+                    }
+                }
+                None => hosts.list[h].open = false,
+            }
+        }
+    }
+}
+
+/// Jobs that fit into their team's guarantee together with the team's earlier unfinished ones.
+fn guaranteed<'a>(s: &Settings, mirror: &'a Mirror) -> HashSet<&'a str> {
+    let mut left: HashMap<&str, [f64; 2]> = HashMap::new();
+    for t in &s.params.teams {
+        if t.cpus > 0.0 || t.gpus > 0.0 {
+            let amount = |v: f64| if v > 0.0 { v } else { f64::INFINITY };
+            left.insert(&t.name, [amount(t.cpus), amount(t.gpus)]);
+        }
+    }
+    let mut within = HashSet::new();
+    if left.is_empty() {
+        return within;
+    }
+    let active = mirror.jobs.iter().filter(|(_, j)| j.active() && !j.waits());
+    let mut jobs: Vec<(&String, &Job)> = active.collect();
+    jobs.sort_by_key(|(id, j)| (j.rec.at, *id));
+    for (id, job) in jobs {
+        let spec = &job.rec.spec;
+        let Some(left) = left.get_mut(spec.team.as_str()) else {
+            continue;
+        };
+        let n = (spec.tasks as u64).saturating_sub(job.done_count()) as f64;
+        left[0] -= spec.cpus * n;
+        left[1] -= spec.gpus * n;
+        if left.iter().all(|l| *l >= -1e-6) {
+            within.insert(id.as_str());
+        }
+    }
+    within
+}
+
+/// Tasks of a job that may start: not done, and on no machine. At most `most` for arrays.
+fn startable(l: &Leader, id: &str, job: &Job, most: usize) -> Vec<u32> {
+    let spec = &job.rec.spec;
+    let most = if spec.kind == Kind::Gang {
+        spec.tasks as usize
+    } else {
+        most
+    };
+    let mut tasks = Vec::new();
+    let chunks = spec.tasks.div_ceil(CHUNK);
+    let ended = |e: &Entry| {
+        // Its end is on its way to the record.
+        l.presumed(id, e, true) || l.standing(id, e) == Standing::Ended(Why::Done)
+    };
+    for c in 0..chunks {
+        let chunk = job.chunk_of(c * CHUNK);
+        for task in c * CHUNK..spec.tasks.min((c + 1) * CHUNK) {
+            let free = match chunk {
+                None => true,
+                Some(ch) => !ch.is_done(task) && !ch.entry(task).is_some_and(ended),
+            };
+            if free && !l.edits.finishing(id, task) && !l.edits.placing(id, task) {
+                tasks.push(task);
+                if tasks.len() >= most {
+                    return tasks;
+                }
+            }
+        }
+    }
+    tasks
+}
+
+/// Room is looked for on behalf of this many blocked jobs a pass, first come first: the work of a
+/// pass must not grow with the length of the queue times the size of the fleet.
+const MAKE_WAY: usize = 8;
+
+/// What it takes besides saving until a stopped task's place is taken: a stop, a report, a pass, a
+/// record and a start.
+const STOP_S: f64 = 2.0;
+
+fn team_slots(room: &Room, spec: &Spec) -> u32 {
+    let Some([cpus, gpus]) = room.get(&spec.team) else {
+        return u32::MAX;
+    };
+    slots(&[*cpus, *gpus, f64::INFINITY], &[spec.cpus, spec.gpus, 0.0])
+}
+
+fn take(host: &mut Host, room: &mut Room, item: &Item<'_>) {
+    host.take(&item.shape.need);
+    if let Some(r) = room.get_mut(&item.spec.team) {
+        r[0] -= item.spec.cpus;
+        r[1] -= item.spec.gpus;
+    }
+    host.gets(item.shape.image);
+}
+
+/// Starts what fits, in order; `b_max` is the largest demand seen and is raised here.
+fn pass(
+    items: &[Item<'_>],
+    hosts: &mut [Host],
+    victims: &[Victim<'_>],
+    room: &mut Room,
+    b_max: f64,
+    most: usize,
+) -> Plan {
+    let mut plan = Plan::default();
+    let mut blocked = false;
+    let mut later: Vec<&Item<'_>> = Vec::new();
+    let typical = hosts.first().map_or([1.0; 3], |h| h.total);
+    let demand = |i: &Item<'_>| i.spec.tasks as f64 * placement::size(&typical, &i.shape.need);
+    let mut tries = MAKE_WAY;
+    for item in items {
+        if plan.places.len() >= most {
+            break;
+        }
+        if blocked && item.spec.kind != Kind::Service {
+            later.push(item);
+            continue;
+        }
+        let before = plan.places.len();
+        let ratio = demand(item) / b_max.max(1e-9);
+        let short = start(item, hosts, room, ratio, false, victims, &mut plan);
+        if short == 0 {
+            continue;
+        }
+        plan.lacks.push((item.id.to_string(), short));
+        let presses = item.spec.kind != Kind::Array || item.guaranteed;
+        if presses && plan.places.len() == before && tries > 0 {
+            tries -= usize::from(make_way(item, hosts, victims, !blocked, &mut plan));
+        }
+        blocked |= item.spec.kind != Kind::Service;
+    }
+    later.sort_by(|a, b| a.estimate_s.total_cmp(&b.estimate_s));
+    for item in later {
+        if plan.places.len() >= most {
+            break;
+        }
+        let ratio = demand(item) / b_max.max(1e-9);
+        let short = start(item, hosts, room, ratio, true, victims, &mut plan);
+        if short > 0 {
+            plan.lacks.push((item.id.to_string(), short));
+            if (item.spec.kind == Kind::Gang || item.guaranteed) && tries > 0 {
+                tries -= usize::from(make_way(item, hosts, victims, false, &mut plan));
+            }
+        }
+    }
+    plan
+}
+
+/// Starts what fits of one job; returns how many tasks found no room (its team's limit aside).
+fn start(
+    item: &Item<'_>,
+    hosts: &mut [Host],
+    room: &mut Room,
+    ratio: f64,
+    backfill: bool,
+    victims: &[Victim<'_>],
+    plan: &mut Plan,
+) -> u32 {
+    let spec = item.spec;
+    let n = item.tasks.len() as u32;
+    let may = team_slots(room, spec).min(n);
+    if spec.kind == Kind::Gang {
+        if may < n {
+            return 0;
+        }
+        let Some(found) =
+            placement::gang(hosts, 0..hosts.len(), item.id, spec, &item.shape, n, ratio)
+        else {
+            return n;
+        };
+        for (task, host) in item.tasks.iter().zip(found) {
+            take(&mut hosts[host], room, item);
+            plan.places
+                .push((item.id.to_string(), *task, host, backfill));
+        }
+        return 0;
+    }
+    let service = spec.kind == Kind::Service;
+    let mut zones: Vec<u32> = item.present.iter().map(|(z, _)| *z).collect();
+    let half = spec.tasks.div_ceil(2) as usize;
+    let has = |i: usize| item.present.iter().any(|(_, m)| *m == Some(i));
+    let mut picker = Picker::new(
+        hosts,
+        0..hosts.len(),
+        item.id,
+        &item.shape,
+        ratio,
+        service,
+        has,
+    );
+    let mut clearing = None;
+    for (k, task) in item.tasks.iter().take(may as usize).enumerate() {
+        let fits = |zone: u32| {
+            (!spec.one_zone || zones.iter().all(|z| *z == zone))
+                && (!spec.spread || zones.iter().filter(|z| **z == zone).count() < half)
+        };
+        let Some(host) = picker.next(hosts, fits) else {
+            return may - k as u32;
+        };
+        if service && !hosts[host].has(item.shape.image) {
+            let cleared = |h: &&Host| {
+                h.reserved.as_deref() == Some(item.id) && slots(&h.free, &item.shape.need) == 0
+            };
+            let waits = clearing.get_or_insert_with(|| hosts.iter().filter(cleared).count());
+            if *waits > 0 {
+                // It starts as soon as its place is clear.
+                *waits -= 1;
+                picker.back(hosts, host);
+                continue;
+            }
+            if let Some(v) = in_the_way(item, hosts, victims, fits) {
+                plan.stops.push((v.job.to_string(), v.task));
+                plan.reserved.push((v.host, item.id.to_string()));
+                hosts[v.host].reserved = Some(item.id.into());
+                zones.push(hosts[v.host].zone);
+                picker.back(hosts, host);
+                continue;
+            }
+        }
+        take(&mut hosts[host], room, item);
+        picker.taken(hosts, host);
+        zones.push(hosts[host].zone);
+        plan.places
+            .push((item.id.to_string(), *task, host, backfill && !service));
+    }
+    0
+}
+
+/// A task of a lower priority, saving and alone, that keeps a replica from a machine with its image,
+/// where the replica would start in less than half the time that a fetch takes.
+fn in_the_way<'a, 'b>(
+    item: &Item<'_>,
+    hosts: &[Host],
+    victims: &'a [Victim<'b>],
+    fits: impl Fn(u32) -> bool,
+) -> Option<&'a Victim<'b>> {
+    let serves = |v: &&Victim<'_>| {
+        let h = &hosts[v.host];
+        let room = || {
+            let mut room = h.free;
+            placement::add(&mut room, &v.need);
+            room
+        };
+        v.single
+            && v.saves
+            && v.priority < item.priority
+            && item.fetch_s > 2.0 * (v.save_s + STOP_S)
+            && h.open
+            && h.reserved.is_none()
+            && h.has(item.shape.image)
+            && slots(&room(), &item.shape.need) > 0
+            && item.shape.allow.takes(h.kind, h.zone, h.spot)
+            && !item.shape.avoid.contains(&v.host)
+            && item.present.iter().all(|(_, m)| *m != Some(v.host))
+            && fits(h.zone)
+    };
+    victims.iter().filter(serves).max_by_key(|v| v.order)
+}
+
+/// If a blocked job fits once others are gone, stops those on its room, latest first: what was
+/// backfilled, for the job at the top; what has a lower priority, if it can save or makes room for
+/// replicas; and what other teams run beyond their guarantees, for a job within its own. The
+/// machines are kept for the job until it has started. Tells whether there was anything to weigh.
+fn make_way(
+    item: &Item<'_>,
+    hosts: &[Host],
+    victims: &[Victim<'_>],
+    top: bool,
+    plan: &mut Plan,
+) -> bool {
+    let kept = |h: &Host| h.reserved.as_deref() == Some(item.id);
+    if hosts.iter().any(kept) {
+        return false;
+    }
+    let service = item.spec.kind == Kind::Service;
+    let gang = item.spec.kind == Kind::Gang;
+    let array = item.spec.kind == Kind::Array;
+    let may = |v: &&Victim<'_>| {
+        let lower = v.priority < item.priority && (v.saves || service) && !array;
+        // A guarantee is given back by whoever runs beyond their own: at once by single tasks that
+        // lose little; by gangs, which stop as a whole, when nothing else has helped.
+        let surplus = v.surplus && v.team != item.team && (v.single || item.overdue);
+        let owed = item.guaranteed && surplus;
+        hosts[v.host].reserved.is_none()
+            && plan.reserved.iter().all(|(h, _)| *h != v.host)
+            && ((top && gang && v.backfilled) || lower || owed)
+    };
+    let victims: Vec<&Victim<'_>> = victims.iter().filter(may).collect();
+    if victims.is_empty() {
+        return false;
+    }
+    let mut without: Vec<Host> = hosts.to_vec();
+    for (h, _) in &plan.reserved {
+        without[*h].open = false;
+    }
+    for v in &victims {
+        without[v.host].give(&v.need);
+    }
+    let need = item.shape.need;
+    let n = if gang { item.tasks.len() as u32 } else { 1 };
+    // For one task the fullest machine serves, so that as few as possible have to go.
+    let found = if n == 1 {
+        let present = &item.present;
+        let fits = |h: &Host| {
+            let in_zone = present.iter().filter(|(z, _)| *z == h.zone).count() as u32;
+            let apart = item.spec.one_zone && present.iter().any(|(z, _)| *z != h.zone);
+            let crowded = item.spec.spread && in_zone >= item.spec.tasks.div_ceil(2);
+            !apart && !crowded
+        };
+        let lost = |i: usize| (without[i].free[1] - hosts[i].free[1]).max(0.0);
+        (0..without.len())
+            .filter(|i| {
+                fits(&without[*i])
+                    && may_take(&without[*i], item.id, &item.shape.need, &item.shape.allow)
+            })
+            .min_by(|a, b| {
+                let image = |i: usize| !without[i].has(item.shape.image);
+                (lost(*a), image(*a))
+                    .partial_cmp(&(lost(*b), image(*b)))
+                    .unwrap_or(std::cmp::Ordering::Equal)
+            })
+            .map(|i| vec![i])
+    } else {
+        placement::gang(
+            &without,
+            0..without.len(),
+            item.id,
+            item.spec,
+            &item.shape,
+            n,
+            1.0,
+        )
+    };
+    let Some(found) = found else {
+        return true;
+    };
+    let mut by_host: BTreeMap<usize, u32> = BTreeMap::new();
+    for h in found {
+        *by_host.entry(h).or_default() += 1;
+    }
+    for (h, n) in by_host {
+        let mut free = hosts[h].free;
+        let mut here: Vec<&&Victim<'_>> = victims.iter().filter(|v| v.host == h).collect();
+        here.sort_by_key(|v| std::cmp::Reverse(v.order));
+        // An array takes as much of its machine as it can use.
+        let n = if array { item.tasks.len() as u32 } else { n };
+        for v in here {
+            if slots(&free, &need) >= n {
+                break;
+            }
+            placement::add(&mut free, &v.need);
+            plan.stops.push((v.job.to_string(), v.task));
+        }
+        plan.reserved.push((h, item.id.to_string()));
+    }
+    true
+}
