A session that a direct answer has shown is not judged by the old session's lease

After a cut the answer to a direct command may be the first to show a worker's new session. The leader's last answer was to the old one, a lease ago and longer, so as soon as no follower renewed the machine the new session counted as over, though tasks had just been started in it; they were started elsewhere as well.

Now a session's lease runs from when it was first heard of.

--- a/src/bookkeeping/workers.rs
+++ b/src/bookkeeping/workers.rs
@@ -71,6 +71,9 @@
     pub spot: bool,
     /// Session.
     pub session: u64,
+    /// When we first heard of that session: its lease runs from a moment before, whatever became of the
+    /// one before it.
+    pub began: Micros,
     /// Sequence number of the newest message.
     pub seq: u64,
     /// Highest term the worker had seen by its newest message.
@@ -129,6 +132,7 @@
         let before = (self.session, self.term, self.notice.is_some());
         if r.session > self.session {
             // A new session has none of the old tasks, and no command for the old one counts.
+            self.began = now;
             self.starts.clear();
             self.stops.clear();
         }
@@ -198,6 +202,7 @@
             zone: r.zone.clone(),
             spot: r.spot,
             session: 0,
+            began: Micros::ZERO,
             seq: 0,
             term: 0,
             termed: Micros::ZERO,
