Promises on coming machines look only at those with room; due writes only when they can go

Room on coming machines is kept like that on the others, and what is due is looked for when the store's budget has room. Acceptances waiting are looked through when one of them is due.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -5,7 +5,7 @@
 use super::placement::{self, Allow, Amounts, Host, Names, Shape, slots};
 use super::policy::Policy;
 use super::queue::{Lack, Met};
-use super::rooms::Vain;
+use super::rooms::{Rooms, Vain};
 use super::survey::Hosts;
 use crate::bookkeeping::mirror::{Job, Mirror};
 use crate::bookkeeping::pace::Pace;
@@ -512,7 +512,7 @@
 
 /// Machines that are not there yet, or are about to take tasks, and what has been promised of them.
 struct Coming {
-    hosts: Vec<Host>,
+    rooms: Rooms,
     /// What found no room on them, by reach.
     vain: HashMap<u32, Vain>,
 }
@@ -520,7 +520,7 @@
 impl Coming {
     fn add(&mut self, host: Option<Host>) {
         if let Some(h) = host {
-            self.hosts.push(h);
+            self.rooms.push(h);
             // There is more room than before.
             self.vain.clear();
         }
@@ -528,44 +528,38 @@
 
     /// Promises room to tasks; returns how many found none.
     fn place<'j>(&mut self, need: &Need<'_>, n: u32, job: impl Fn() -> Option<&'j Job>) -> u32 {
-        let gang = need.gang;
-        let many = if gang { n } else { 1 };
+        let many = if need.gang { n } else { 1 };
         let vain = self.vain.entry(need.reach).or_default();
         if vain.covers(need.need, many) {
             return n;
         }
-        if gang {
-            let all = 0..self.hosts.len();
+        let mut open = self.rooms.candidates("", need.need, need.allow);
+        if need.gang {
             let shape = need.shape();
             let spec = job().map(|j| &j.rec.spec);
-            let found = spec.and_then(|s| placement::gang(&self.hosts, all, "", s, &shape, n, 1.0));
+            let all = open.into_iter();
+            let found = spec.and_then(|s| placement::gang(&self.rooms, all, "", s, &shape, n, 1.0));
             let Some(found) = found else {
                 vain.add(need.need, n);
                 return n;
             };
             for h in found {
-                self.hosts[h].take(need.need);
+                self.rooms.take(h, need.need);
             }
             return 0;
         }
-        let mut left = n;
         // The newest come last, and have room.
-        for h in self.hosts.iter_mut().rev() {
+        open.sort_unstable_by(|a, b| b.cmp(a));
+        let mut left = n;
+        for h in open {
+            let k = slots(&self.rooms[h].free, need.need).min(left);
+            self.rooms.take(h, &need.need.map(|x| x * k as f64));
+            left -= k;
             if left == 0 {
-                break;
+                return 0;
             }
-            if !need.allow.takes(h.kind, h.zone, h.spot) {
-                continue;
-            }
-            let k = slots(&h.free, need.need).min(left);
-            for (f, x) in h.free.iter_mut().zip(*need.need) {
-                *f -= x * k as f64;
-            }
-            left -= k;
-        }
-        if left > 0 {
-            vain.add(need.need, 1);
         }
+        vain.add(need.need, 1);
         left
     }
 }
@@ -611,7 +605,7 @@
     }
     let types: &[MachineType] = mirror.types.as_deref().unwrap_or_default();
     let mut coming = Coming {
-        hosts: Vec::new(),
+        rooms: Rooms::default(),
         vain: HashMap::new(),
     };
     let mut count: BTreeMap<&str, usize> = BTreeMap::new();
@@ -646,6 +640,7 @@
         {
             let mut host = rooms[h].clone();
             host.open = true;
+            host.reserved = None;
             coming.add(Some(host));
         }
     }
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -54,6 +54,7 @@
 }
 
 struct Accepting {
+    nth: u64,
     conns: Vec<u64>,
     rec: JobRec,
     since: Micros,
@@ -68,7 +69,11 @@
 #[derive(Default)]
 pub struct Front {
     accepting: BTreeMap<String, Accepting>,
-    order: Vec<String>,
+    /// The same in the order in which they came.
+    order: BTreeMap<u64, String>,
+    came: u64,
+    /// Nothing of them is due before this.
+    look_at: Micros,
     batches: usize,
     cancelling: BTreeMap<String, Vec<u64>>,
 }
@@ -323,7 +328,9 @@
             first: Chunk::default(),
             cleaned: false,
         };
+        self.front.came += 1;
         let a = Accepting {
+            nth: self.front.came,
             conns: vec![conn],
             rec,
             since: clock.now,
@@ -333,7 +340,8 @@
             again: clock.now,
         };
         self.front.accepting.insert(id.clone(), a);
-        self.front.order.push(id);
+        self.front.order.insert(self.front.came, id);
+        self.front.look_at = Micros::ZERO;
     }
 
     /// How many acceptances wait to be written.
@@ -350,7 +358,7 @@
         let mut ids = Vec::new();
         let mut changes = Vec::new();
         let mut conds = Vec::new();
-        for id in &self.front.order {
+        for id in self.front.order.values() {
             let Some(a) = self.front.accepting.get_mut(id) else {
                 continue;
             };
@@ -377,6 +385,7 @@
     /// An acceptance came back.
     pub fn on_accepted(&mut self, clock: Clock, ids: Vec<String>, reply: Reply) {
         self.front.batches -= 1;
+        self.front.look_at = Micros::ZERO;
         let alone = ids.len() == 1;
         for id in ids {
             let key = job_key(&id);
@@ -445,8 +454,9 @@
     }
 
     fn forget_accepting(&mut self, id: &str) {
-        self.front.accepting.remove(id);
-        self.front.order.retain(|o| o != id);
+        if let Some(a) = self.front.accepting.remove(id) {
+            self.front.order.remove(&a.nth);
+        }
     }
 
     /// GET /submissions/{id}; `catch_up`: the copy may be behind.
@@ -565,6 +575,9 @@
 
     /// Refuses what has waited for its turn in vain; returns when to look again.
     pub fn front_time(&mut self, clock: Clock) -> Micros {
+        if clock.now < self.front.look_at {
+            return self.front.look_at;
+        }
         let mut late = Vec::new();
         let mut next = Micros::FAR;
         for (id, a) in &self.front.accepting {
@@ -587,6 +600,7 @@
                 self.refuse(conn, 503, "too many submissions at once");
             }
         }
+        self.front.look_at = next;
         next
     }
 }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -295,6 +295,12 @@
         let now = clock.now;
         let most = self.settings.params.state.least_txn_ops();
         loop {
+            // Under a flood hundreds of changes wait, and news comes hundreds of times a second: what is
+            // due is only looked for when the store can take something.
+            let at = self.store.room_at(now, 1);
+            if at > now {
+                return at;
+            }
             let accepts = self.accepts_due(now);
             let (edits, next) = self.edits_due(now);
             if accepts + edits == 0 {
