Whose turn it is when the processor is used up: answers and reports before users' floods

Under a flood the actors handled whatever had arrived in the order of arrival, so that a lease renewal or a report could stand behind a thousand polls, most of whose users had given up. Now answers, siblings, workers and health checks go first, then cancellations, submissions and polls, 64 a step with a quarter for polls; what is older than its user's patience is refused at once with Retry-After, and passes stretch to four times their distance while users wait for the processor (coordination/turns, two unit stories).

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -495,7 +495,8 @@
         let now = clock.now;
         let pace = self
             .policy
-            .pass_interval(self.settings.params.limits.core_share);
+            .pass_interval(self.settings.params.limits.core_share)
+            .times(self.turns.stretch(now));
         let mut next = Micros::FAR;
         if let Some(l) = &mut self.leader {
             next = next.min(l.leases(&self.settings, &self.mirror, now));
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -18,3 +18,4 @@
 pub mod rooms;
 pub mod survey;
 pub mod tasks;
+pub mod turns;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -5,6 +5,7 @@
 use super::leader::Leader;
 use super::policy::Policy;
 use super::renewal::Renewals;
+use super::turns::{Turn, Turns};
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::store::{Ask, Rank, Reply, Store};
 use crate::protocol::format;
@@ -150,6 +151,8 @@
     pub leader: Option<Leader>,
     /// Leases renewed on the leader's behalf.
     pub renewals: Renewals,
+    /// Users' requests that wait for the processor.
+    pub turns: Turns,
     /// Effects gathered in this step.
     pub out: Vec<NetCmd>,
     /// Number of the last call.
@@ -207,6 +210,7 @@
             front: Front::default(),
             leader: None,
             renewals: Renewals::default(),
+            turns: Turns::default(),
             out: Vec::new(),
             next_id: 0,
             calls: BTreeMap::new(),
@@ -238,19 +242,25 @@
 
     /// Takes a batch of messages; returns what to do and when to be called next at the latest.
     pub fn handle(&mut self, clock: Clock, events: Vec<NetEvent>) -> (Vec<NetCmd>, Micros) {
-        for e in events {
-            match e {
-                NetEvent::Request {
+        for turn in self.turns.step(clock.now, events) {
+            match turn {
+                Turn::Handle(NetEvent::Request {
                     conn,
                     internal,
                     method,
                     path,
                     body,
-                } => self.on_request(clock, conn, internal, &method, &path, &body),
-                NetEvent::Answer { id, outcome } => self.on_answer(clock, id, outcome),
+                }) => self.on_request(clock, conn, internal, &method, &path, &body),
+                Turn::Handle(NetEvent::Answer { id, outcome }) => {
+                    self.on_answer(clock, id, outcome)
+                }
+                Turn::Refuse(conn) => self.refuse_until(conn, "too many requests at once", 2),
             }
         }
-        let next = self.on_time(clock);
+        let mut next = self.on_time(clock);
+        if self.turns.waiting() {
+            next = clock.now;
+        }
         let next = next.min(self.write_turns(clock));
         self.store.pump(clock.now, &mut self.next_id, &mut self.out);
         let next = self.store.wake(clock.now).map_or(next, |t| t.min(next));
--- /dev/null
+++ b/src/coordination/turns.rs
@@ -0,0 +1,212 @@
+//! Whose turn it is when more arrives than the processor can handle.
+//!
+//! What keeps the service alive goes first: answers (leadership and records hang on them), siblings,
+//! workers' reports, health checks. Cancellations, submissions and polls of users come after it, in that
+//! order and each in the order of arrival, some at a time, so that timers fall due in between. A request
+//! whose user has given up is not worth its work any more: it is refused, which costs next to nothing.
+//!
+//! Nothing grows here without bound: a connection has one request on its way, and connections are
+//! limited by the transport.
+
+use crate::protocol::Micros;
+use crate::transport::NetEvent;
+use std::collections::VecDeque;
+
+/// Requests of users handled in one step, at most.
+const A_STEP: usize = 64;
+/// A poll's user waits 2 s (PROTOCOL, "GET /submissions/{id}"), a submission's or cancellation's 5 s;
+/// something is left for the way back.
+const POLL_PATIENCE: Micros = Micros::millis(1_600);
+const PATIENCE: Micros = Micros::millis(4_000);
+
+/// Sorts of what arrives, most urgent first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Sort {
+    /// Never waits.
+    Vital,
+    Cancel,
+    Submit,
+    Poll,
+}
+
+fn sort(e: &NetEvent) -> Sort {
+    let NetEvent::Request {
+        internal,
+        method,
+        path,
+        ..
+    } = e
+    else {
+        return Sort::Vital;
+    };
+    // A sibling hands users' requests on under a path of its own.
+    let Some(rest) = path.split_once("/submissions").map(|(_, rest)| rest) else {
+        return Sort::Vital;
+    };
+    match (method.as_str(), rest) {
+        _ if *internal && !path.starts_with(super::node::HANDED_ON) => Sort::Vital,
+        ("GET", _) => Sort::Poll,
+        (_, r) if r.ends_with("/cancel") => Sort::Cancel,
+        _ => Sort::Submit,
+    }
+}
+
+/// What is to be done with an event now.
+#[derive(Debug)]
+pub enum Turn {
+    /// Handle it.
+    Handle(NetEvent),
+    /// Its user has waited for too long: refuse it on this connection.
+    Refuse(u64),
+}
+
+/// Users' requests that wait for their turn, with their arrival.
+#[derive(Debug, Default)]
+pub struct Turns {
+    cancels: VecDeque<(Micros, NetEvent)>,
+    submits: VecDeque<(Micros, NetEvent)>,
+    polls: VecDeque<(Micros, NetEvent)>,
+}
+
+impl Turns {
+    /// Takes what has arrived; gives what is to be handled in this step, in order.
+    pub fn step(&mut self, now: Micros, events: Vec<NetEvent>) -> Vec<Turn> {
+        let mut turns = Vec::with_capacity(events.len().min(2 * A_STEP));
+        for e in events {
+            match sort(&e) {
+                Sort::Vital => turns.push(Turn::Handle(e)),
+                Sort::Cancel => self.cancels.push_back((now, e)),
+                Sort::Submit => self.submits.push_back((now, e)),
+                Sort::Poll => self.polls.push_back((now, e)),
+            }
+        }
+        // A flood of submissions must not keep everybody from learning how their jobs are.
+        let polls = self.polls.len().min(A_STEP / 4);
+        let mut left = A_STEP - polls;
+        left = take(&mut self.cancels, now, PATIENCE, left, &mut turns);
+        left = take(&mut self.submits, now, PATIENCE, left, &mut turns);
+        take(
+            &mut self.polls,
+            now,
+            POLL_PATIENCE,
+            left + polls,
+            &mut turns,
+        );
+        turns
+    }
+
+    /// Passes come this many times as far apart while users wait for the processor.
+    pub fn stretch(&self, now: Micros) -> f64 {
+        match self.age(now).0 {
+            0..250_000 => 1.0,
+            250_000..1_000_000 => 2.0,
+            _ => 4.0,
+        }
+    }
+
+    /// Something waits.
+    pub fn waiting(&self) -> bool {
+        self.oldest().is_some()
+    }
+
+    /// How long the request that came first has waited.
+    pub fn age(&self, now: Micros) -> Micros {
+        self.oldest().map_or(Micros::ZERO, |t| now.since(t))
+    }
+
+    fn oldest(&self) -> Option<Micros> {
+        let queues = [&self.cancels, &self.submits, &self.polls];
+        queues.iter().filter_map(|q| Some(q.front()?.0)).min()
+    }
+}
+
+/// Takes at most `left` requests that are worth their work; returns how many more might be.
+fn take(
+    queue: &mut VecDeque<(Micros, NetEvent)>,
+    now: Micros,
+    patience: Micros,
+    mut left: usize,
+    turns: &mut Vec<Turn>,
+) -> usize {
+    while left > 0
+        && let Some((came, e)) = queue.pop_front()
+    {
+        match e {
+            NetEvent::Request { conn, .. } if now >= came + patience => {
+                turns.push(Turn::Refuse(conn));
+            }
+            e => {
+                left -= 1;
+                turns.push(Turn::Handle(e));
+            }
+        }
+    }
+    left
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::transport::Outcome;
+
+    fn request(conn: u64, method: &str, path: &str) -> NetEvent {
+        NetEvent::Request {
+            conn,
+            internal: path.starts_with("/user"),
+            method: method.into(),
+            path: path.into(),
+            body: Vec::new(),
+        }
+    }
+
+    fn conns(turns: &[Turn]) -> Vec<i64> {
+        let conn = |t: &Turn| match t {
+            Turn::Handle(NetEvent::Request { conn, .. }) => *conn as i64,
+            Turn::Handle(NetEvent::Answer { .. }) => 0,
+            Turn::Refuse(conn) => -(*conn as i64),
+        };
+        turns.iter().map(conn).collect()
+    }
+
+    /// A thousand polls are in the way of an answer from the store, a report and a cancellation.
+    #[test]
+    fn what_keeps_the_service_alive_does_not_wait_behind_a_flood_of_polls() {
+        let mut t = Turns::default();
+        let at = |ms: u64| Micros::millis(10_000 + ms);
+        let mut flood: Vec<NetEvent> = (0..1_000)
+            .map(|n| request(100 + n, "GET", "/submissions/req-1"))
+            .collect();
+        flood.extend([
+            request(1, "POST", "/submissions"),
+            request(2, "POST", "/submissions/req-1/cancel"),
+            request(3, "POST", "/hello"),
+            request(4, "GET", "/healthz"),
+            request(5, "POST", "/user/submissions"),
+            NetEvent::Answer {
+                id: 7,
+                outcome: Outcome::Lost,
+            },
+        ]);
+        let first = conns(&t.step(at(0), flood));
+        assert_eq!(first[..6], [3, 4, 0, 2, 1, 5]);
+        assert_eq!(first.len(), 3 + A_STEP);
+        assert_eq!(t.age(at(300)), Micros::millis(300));
+        // What comes later and is vital goes ahead of all that wait.
+        let second = conns(&t.step(at(300), vec![request(8, "POST", "/hello")]));
+        assert_eq!((second[0], second[1]), (8, 100 + (A_STEP as i64 - 3)));
+        // Users who have given up are refused all at once; none of their polls is worth its work.
+        let third = conns(&t.step(at(1_700), Vec::new()));
+        assert!(third.len() > 800 && third.iter().all(|c| *c < 0));
+        assert!(!t.waiting());
+    }
+
+    #[test]
+    fn a_flood_of_submissions_leaves_polls_a_part() {
+        let mut t = Turns::default();
+        let flood = (0..500).map(|n| request(1_000 + n, "POST", "/submissions"));
+        let polls = (0..40).map(|n| request(1 + n, "GET", "/submissions/req-1"));
+        let first = conns(&t.step(Micros::millis(1), flood.chain(polls).collect()));
+        assert_eq!(first.len(), A_STEP);
+        assert_eq!(first.iter().filter(|c| **c < 1_000).count(), A_STEP / 4);
+    }
+}
