--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1422,6 +1422,11 @@
         node.map_or(0, |n| n.mirror.jobs.len())
     }
 
+    /// A controller, if it runs.
+    pub fn node(&self, i: usize) -> Option<&Node> {
+        self.nodes[i].node.as_ref()
+    }
+
     pub fn nodes(&self) -> usize {
         self.nodes.len()
     }
