crates/admission and crates/explore: fair lanes, refusals, parts of a whole, and a look at every state

Need: controllers admit first come first served, so that a class that floods takes every place, and they share the store's budget by fixed parts.

--- /dev/null
+++ b/crates/admission/src/lanes.rs
@@ -0,0 +1,354 @@
+//! A bounded queue of lanes: a lane for each class of a team. Teams take turns by weight, classes of a
+//! team evenly; within a lane whoever has tried first goes first. When the queue is full, whoever came
+//! last in the lane that holds most by weight has to go, so a lane that asks for little is never refused
+//! on account of one that asks for much.
+//!
+//! Each step costs the logarithm of the number of lanes and of what waits in one; lanes with nothing
+//! waiting are forgotten once they have no turn to catch up with.
+
+use crate::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A turn's length at weight 1.
+const TURN: f64 = (1u64 << 20) as f64;
+
+/// Place of an entry in its lane: first attempt, then arrival.
+pub type Ticket = (Micros, u64);
+
+/// One lane.
+#[derive(Debug)]
+struct Lane<T> {
+    waiting: BTreeMap<Ticket, T>,
+    turn: u64,
+}
+
+/// The lanes of one team.
+#[derive(Debug)]
+struct Team<C, T> {
+    lanes: BTreeMap<C, Lane<T>>,
+    /// Lanes with something waiting, whose turn it is first first.
+    turns: BTreeSet<(u64, C)>,
+    /// The same, the shortest first.
+    sizes: BTreeSet<(usize, C)>,
+    /// Turn of the lane served last.
+    now: u64,
+    turn: u64,
+    weight: f64,
+    len: usize,
+}
+
+/// The queue. `K` names teams, `C` classes.
+#[derive(Debug)]
+pub struct Lanes<K, C, T> {
+    teams: BTreeMap<K, Team<C, T>>,
+    turns: BTreeSet<(u64, K)>,
+    /// Teams by what they hold for their weight, least first.
+    sizes: BTreeSet<(u64, K)>,
+    now: u64,
+    len: usize,
+    most: usize,
+    came: u64,
+}
+
+/// What came of an entry.
+#[derive(Debug, PartialEq)]
+pub enum Taken<T> {
+    /// It waits, and nobody had to go.
+    Waits(Ticket),
+    /// It waits; this one has to go.
+    Instead(Ticket, T),
+    /// Its own lane holds most, and it is the last there: it has to go itself.
+    Refused(T),
+}
+
+fn load(len: usize, weight: f64) -> u64 {
+    (len as f64 * TURN / weight) as u64
+}
+
+impl<K: Ord + Clone, C: Ord + Clone, T> Lanes<K, C, T> {
+    /// Holds at most `most` entries.
+    pub fn new(most: usize) -> Lanes<K, C, T> {
+        Lanes {
+            teams: BTreeMap::new(),
+            turns: BTreeSet::new(),
+            sizes: BTreeSet::new(),
+            now: 0,
+            len: 0,
+            most,
+            came: 0,
+        }
+    }
+
+    /// Entries that wait.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Holds at most so many from now on; those that are more wait on.
+    pub fn limit(&mut self, most: usize) {
+        self.most = most;
+    }
+
+    /// Entries that wait in a lane.
+    pub fn waiting(&self, team: &K, class: &C) -> usize {
+        let lane = self.teams.get(team).and_then(|t| t.lanes.get(class));
+        lane.map_or(0, |l| l.waiting.len())
+    }
+
+    /// What waits in each lane.
+    pub fn sizes(&self) -> impl Iterator<Item = (&K, &C, usize)> {
+        self.teams.iter().flat_map(|(k, t)| {
+            let all = t.lanes.iter();
+            all.map(move |(c, l)| (k, c, l.waiting.len()))
+        })
+    }
+
+    /// Lets an entry wait, or says who has to go. `weight` of its team, above zero; `first`: when its
+    /// user tried for the first time.
+    pub fn push(&mut self, team: K, weight: f64, class: C, first: Micros, entry: T) -> Taken<T> {
+        self.came += 1;
+        let ticket = (first, self.came);
+        let mut gone = None;
+        if self.len >= self.most {
+            match self.fullest() {
+                Some((k, c)) if k == team && c == class => {
+                    // The lane that holds most is its own: whoever tried last goes.
+                    let last = self.last(&k, &c);
+                    if last.is_none_or(|t| t <= ticket) {
+                        return Taken::Refused(entry);
+                    }
+                    gone = last.and_then(|t| self.remove(&k, &c, t));
+                }
+                Some((k, c)) => {
+                    gone = self.last(&k, &c).and_then(|t| self.remove(&k, &c, t));
+                }
+                None => return Taken::Refused(entry),
+            }
+        }
+        self.insert(team, weight, class, ticket, entry);
+        match gone {
+            Some(g) => Taken::Instead(ticket, g),
+            None => Taken::Waits(ticket),
+        }
+    }
+
+    /// Puts an entry back in its place: its turn came to nothing.
+    pub fn back(&mut self, team: K, weight: f64, class: C, ticket: Ticket, entry: T) {
+        self.insert(team, weight, class, ticket, entry);
+    }
+
+    fn insert(&mut self, team: K, weight: f64, class: C, ticket: Ticket, entry: T) {
+        let weight = weight.max(1e-6);
+        let now = self.now;
+        let t = self.teams.entry(team.clone()).or_insert_with(|| Team {
+            lanes: BTreeMap::new(),
+            turns: BTreeSet::new(),
+            sizes: BTreeSet::new(),
+            now: 0,
+            turn: 0,
+            weight,
+            len: 0,
+        });
+        self.sizes.remove(&(load(t.len, t.weight), team.clone()));
+        if t.len == 0 {
+            // Whoever was away has no turns saved up.
+            t.turn = t.turn.max(now);
+            self.turns.insert((t.turn, team.clone()));
+        }
+        t.weight = weight;
+        t.len += 1;
+        self.sizes.insert((load(t.len, t.weight), team));
+        let lane = t.lanes.entry(class.clone()).or_insert_with(|| Lane {
+            waiting: BTreeMap::new(),
+            turn: 0,
+        });
+        t.sizes.remove(&(lane.waiting.len(), class.clone()));
+        if lane.waiting.is_empty() {
+            lane.turn = lane.turn.max(t.now);
+            t.turns.insert((lane.turn, class.clone()));
+        }
+        lane.waiting.insert(ticket, entry);
+        t.sizes.insert((lane.waiting.len(), class));
+        self.len += 1;
+    }
+
+    /// The lane that holds most, of the team that holds most for its weight.
+    fn fullest(&self) -> Option<(K, C)> {
+        let (_, team) = self.sizes.last()?;
+        let (_, class) = self.teams.get(team)?.sizes.last()?;
+        Some((team.clone(), class.clone()))
+    }
+
+    fn last(&self, team: &K, class: &C) -> Option<Ticket> {
+        let lane = self.teams.get(team)?.lanes.get(class)?;
+        lane.waiting.keys().next_back().copied()
+    }
+
+    /// Takes an entry out.
+    pub fn remove(&mut self, team: &K, class: &C, ticket: Ticket) -> Option<T> {
+        let t = self.teams.get_mut(team)?;
+        let lane = t.lanes.get_mut(class)?;
+        let entry = lane.waiting.remove(&ticket)?;
+        let left = lane.waiting.len();
+        t.sizes.remove(&(left + 1, class.clone()));
+        if left > 0 {
+            t.sizes.insert((left, class.clone()));
+        } else {
+            t.turns.remove(&(lane.turn, class.clone()));
+            if lane.turn <= t.now {
+                t.lanes.remove(class);
+            }
+        }
+        self.sizes.remove(&(load(t.len, t.weight), team.clone()));
+        t.len -= 1;
+        self.len -= 1;
+        if t.len > 0 {
+            self.sizes.insert((load(t.len, t.weight), team.clone()));
+        } else {
+            self.turns.remove(&(t.turn, team.clone()));
+            if t.turn <= self.now {
+                self.teams.remove(team);
+            }
+        }
+        Some(entry)
+    }
+
+    /// Whose turn it is.
+    pub fn pop(&mut self) -> Option<(K, C, Ticket, T)> {
+        let (turn, team) = self.turns.first().cloned()?;
+        let t = self.teams.get_mut(&team)?;
+        let (lane_turn, class) = t.turns.first().cloned()?;
+        let lane = t.lanes.get_mut(&class)?;
+        let ticket = *lane.waiting.keys().next()?;
+        // The next turn of both comes later by what this one took.
+        self.turns.remove(&(turn, team.clone()));
+        self.now = self.now.max(turn);
+        t.turn = turn + (TURN / t.weight) as u64;
+        self.turns.insert((t.turn, team.clone()));
+        t.turns.remove(&(lane_turn, class.clone()));
+        t.now = t.now.max(lane_turn);
+        lane.turn = lane_turn + TURN as u64;
+        t.turns.insert((lane.turn, class.clone()));
+        let entry = self.remove(&team, &class, ticket)?;
+        self.tidy();
+        Some((team, class, ticket, entry))
+    }
+
+    /// Forgets a few teams and lanes with nothing waiting whose turns have passed.
+    fn tidy(&mut self) {
+        let now = self.now;
+        if self.teams.len() > 2 * self.turns.len() + 16 {
+            self.teams.retain(|_, t| t.len > 0 || t.turn > now);
+        }
+        for t in self.teams.values_mut() {
+            if t.lanes.len() > 2 * t.turns.len() + 16 {
+                let now = t.now;
+                t.lanes.retain(|_, l| !l.waiting.is_empty() || l.turn > now);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::{RngExt, SeedableRng};
+    use rand_chacha::ChaCha8Rng;
+
+    type Queue = Lanes<&'static str, u32, u64>;
+
+    fn served(q: &mut Queue, n: usize) -> BTreeMap<(&'static str, u32), usize> {
+        let mut got = BTreeMap::new();
+        for _ in 0..n {
+            if let Some((k, c, _, _)) = q.pop() {
+                *got.entry((k, c)).or_default() += 1;
+            }
+        }
+        got
+    }
+
+    #[test]
+    fn teams_take_turns_by_weight_and_classes_evenly() {
+        let mut q = Queue::new(10_000);
+        for n in 0..1_000 {
+            q.push("red", 2.0, 1, n, n);
+            q.push("red", 2.0, 2, n, n);
+            q.push("blue", 1.0, 1, n, n);
+        }
+        let got = served(&mut q, 600);
+        assert_eq!(got[&("blue", 1)], 200);
+        assert_eq!((got[&("red", 1)], got[&("red", 2)]), (200, 200));
+    }
+
+    /// One lane floods a full queue; another brings an entry now and then.
+    #[test]
+    fn a_lane_that_asks_for_little_is_never_refused_for_one_that_floods() {
+        let mut q = Queue::new(50);
+        let mut refused = 0;
+        for n in 0..2_000 {
+            match q.push("red", 1.0, 1, n, n) {
+                Taken::Refused(_) => refused += 1,
+                Taken::Instead(..) => panic!("nobody else may have to go for the flood"),
+                Taken::Waits(_) => {}
+            }
+            if n % 100 == 0 {
+                let taken = q.push("red", 1.0, 2, n, n);
+                assert!(!matches!(taken, Taken::Refused(_)), "at {n}");
+            }
+            if n % 20 == 0 {
+                q.pop();
+            }
+        }
+        assert!(refused > 1_500 && q.len() == 50, "{refused} {}", q.len());
+        assert!(q.waiting(&"red", &2) <= 1, "it is served in its turn");
+    }
+
+    #[test]
+    fn within_a_lane_whoever_tried_first_goes_first_and_stays_when_it_is_full() {
+        let mut q = Queue::new(3);
+        for first in [30, 20, 10] {
+            q.push("red", 1.0, 1, first, first);
+        }
+        assert!(matches!(q.push("red", 1.0, 1, 40, 40), Taken::Refused(40)));
+        // One that was refused before, and comes again, takes the place of the last.
+        assert!(matches!(q.push("red", 1.0, 1, 5, 5), Taken::Instead(_, 30)));
+        let order: Vec<u64> = std::iter::from_fn(|| q.pop().map(|(.., e)| e)).collect();
+        assert_eq!(order, [5, 10, 20]);
+    }
+
+    /// Whatever happens, what is counted is what waits, and nothing is kept of lanes long gone.
+    #[test]
+    fn counts_hold_and_nothing_grows_with_the_days() {
+        for seed in 0..200 {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let mut q: Lanes<u32, u32, u64> = Lanes::new(40);
+            let mut held: Vec<(u32, u32, Ticket)> = Vec::new();
+            for n in 0..2_000u64 {
+                let (k, c) = (rng.random_range(0..60), rng.random_range(0..60));
+                match rng.random_range(0..4) {
+                    0 | 1 => match q.push(k, 1.0, c, rng.random_range(0..n + 1), n) {
+                        Taken::Waits(t) => held.push((k, c, t)),
+                        Taken::Instead(t, _) => held.push((k, c, t)),
+                        Taken::Refused(_) => {}
+                    },
+                    2 if !held.is_empty() => {
+                        let (k, c, t) = held.swap_remove(rng.random_range(0..held.len()));
+                        q.remove(&k, &c, t);
+                    }
+                    _ => _ = q.pop(),
+                }
+                let counted: usize = q.sizes().map(|(_, _, n)| n).sum();
+                assert_eq!((counted, q.len() <= 40), (q.len(), true), "seed {seed}");
+                let lanes: usize = q.teams.values().map(|t| t.lanes.len()).sum();
+                assert!(lanes <= 40 * 18 + 16 && q.teams.len() <= 2 * 40 + 16);
+            }
+            while q.pop().is_some() {}
+            assert!(q.is_empty() && q.turns.is_empty() && q.sizes.is_empty());
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/parts.rs
@@ -0,0 +1,227 @@
+//! Parts of a whole that several hold at once, and that never add up to more than the whole.
+//!
+//! Who gives them writes a [`Grant`] on record, each one on condition that the one before is still the
+//! newest and that the giver still leads. A holder uses its part of the newest grant that it has seen,
+//! until the grant ends. It may see a grant late or never, so it may still use its part of an older one:
+//! each grant therefore carries, for every holder, what older grants may still allow. Only what nobody
+//! may still be using is given to others.
+//!
+//! Grants end by the time of day, which all agree on within a bound: a holder stops that bound early, a
+//! giver waits that bound longer. A delayed message can then shorten a part and never lengthen it. A new
+//! giver needs nothing but the newest grant; a holder that restarts, too.
+
+use crate::Micros;
+use crate::fair::{Asked, shares};
+use std::collections::BTreeMap;
+
+/// An amount in thousandths: what is agreed on must be the same for everybody, to the last digit.
+pub type Milli = u64;
+
+/// What a holder may have from some grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Part {
+    /// How much.
+    pub amount: Milli,
+    /// Until this time of day.
+    pub until: Micros,
+}
+
+/// What is on record.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Grant {
+    /// Number; each one is higher than the one before.
+    pub epoch: u64,
+    /// The parts of this grant.
+    pub parts: BTreeMap<String, Part>,
+    /// What older grants may still allow beyond that, largest first.
+    pub owed: BTreeMap<String, Vec<Part>>,
+}
+
+/// How parts are given.
+#[derive(Debug, Clone, Copy)]
+pub struct Rules {
+    /// All that there is to give.
+    pub whole: Milli,
+    /// How long a grant lasts.
+    pub life: Micros,
+    /// How far two clocks' time of day may be apart, and timers be late.
+    pub apart: Micros,
+}
+
+/// What a holder asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Want {
+    /// Who.
+    pub holder: String,
+    /// How much.
+    pub amount: Milli,
+    /// What it counts.
+    pub weight: f64,
+}
+
+impl Grant {
+    /// What a holder may use at this time of day by its own clock.
+    pub fn part(&self, holder: &str, wall: Micros, rules: &Rules) -> Milli {
+        let part = self.parts.get(holder);
+        let open = part.filter(|p| wall + rules.apart < p.until);
+        open.map_or(0, |p| p.amount)
+    }
+
+    /// What a holder may be using at this time of day by the giver's clock, whichever grant it has seen.
+    pub fn bound(&self, holder: &str, wall: Micros, rules: &Rules) -> Milli {
+        let all = self.parts.get(holder).into_iter();
+        let all = all.chain(self.owed.get(holder).into_iter().flatten());
+        let open = all.filter(|p| wall < p.until + rules.apart);
+        open.map(|p| p.amount).max().unwrap_or(0)
+    }
+
+    /// The next grant, given at this time of day. Whoever may still be using more than they get keeps
+    /// the others waiting for the rest.
+    pub fn next(&self, wall: Micros, wants: &[Want], rules: &Rules) -> Grant {
+        let asked = wants.iter().map(|w| Asked {
+            amount: w.amount as f64,
+            weight: w.weight,
+        });
+        let asked: Vec<Asked> = asked.collect();
+        let fair = shares(rules.whole as f64, &asked);
+        let fair: Vec<Milli> = fair.into_iter().map(|f| f as Milli).collect();
+        let mut owed: BTreeMap<String, Vec<Part>> = BTreeMap::new();
+        let holders = self.parts.keys().chain(self.owed.keys());
+        for h in holders {
+            if !owed.contains_key(h) {
+                owed.insert(h.clone(), self.open(h, wall, rules));
+            }
+        }
+        let bound = |h: &String| {
+            let parts = owed.get(h).into_iter().flatten();
+            parts.map(|p| p.amount).max().unwrap_or(0)
+        };
+        let used: Milli = owed.keys().map(bound).sum();
+        let free = rules.whole.saturating_sub(used);
+        // What anybody is to have beyond what it may be using already comes out of what is free.
+        let more: Vec<Milli> = (wants.iter().zip(&fair))
+            .map(|(w, f)| f.saturating_sub(bound(&w.holder)))
+            .collect();
+        let all: Milli = more.iter().sum();
+        let until = wall + rules.life;
+        let mut parts = BTreeMap::new();
+        for ((w, fair), more) in wants.iter().zip(&fair).zip(&more) {
+            let held = (*fair).min(bound(&w.holder));
+            let extra = if all <= free {
+                *more
+            } else {
+                (*more as u128 * free as u128 / all as u128) as Milli
+            };
+            let amount = held + extra;
+            parts.insert(w.holder.clone(), Part { amount, until });
+        }
+        // An older part that allows no more than the new one, and ends no later, need not be told.
+        owed.retain(|h, list| {
+            if let Some(new) = parts.get(h) {
+                list.retain(|p| p.amount > new.amount || p.until > new.until);
+            }
+            !list.is_empty()
+        });
+        Grant {
+            epoch: self.epoch + 1,
+            parts,
+            owed,
+        }
+    }
+
+    /// Parts of all grants so far that a holder may still be using.
+    fn open(&self, holder: &str, wall: Micros, rules: &Rules) -> Vec<Part> {
+        let all = self.parts.get(holder).into_iter();
+        let all = all.chain(self.owed.get(holder).into_iter().flatten());
+        let mut open: Vec<Part> = all
+            .filter(|p| wall < p.until + rules.apart)
+            .copied()
+            .collect();
+        // Of two, one that is neither larger nor lasts longer says nothing.
+        open.sort_by(|a, b| b.cmp(a));
+        let mut lasts = 0;
+        open.retain(|p| {
+            let says = p.until > lasts;
+            lasts = lasts.max(p.until);
+            says
+        });
+        open
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::{RngExt, SeedableRng};
+    use rand_chacha::ChaCha8Rng;
+
+    const RULES: Rules = Rules {
+        whole: 90_000,
+        life: 10_000_000,
+        apart: 50_000,
+    };
+
+    fn want(holder: &str, amount: Milli) -> Want {
+        Want {
+            holder: holder.into(),
+            amount,
+            weight: 1.0,
+        }
+    }
+
+    #[test]
+    fn what_one_does_not_want_goes_to_the_others_once_it_cannot_be_in_use_any_more() {
+        let a = Grant::default().next(
+            0,
+            &[want("a", 80_000), want("b", 80_000), want("c", 0)],
+            &RULES,
+        );
+        assert_eq!(a.part("a", 1, &RULES), 45_000);
+        let wants = [want("a", 0), want("b", 80_000), want("c", 80_000)];
+        let b = a.next(1_000_000, &wants, &RULES);
+        // What a may still be using is nobody's.
+        assert_eq!(b.part("b", 1_000_001, &RULES), 45_000);
+        assert_eq!(b.part("c", 1_000_001, &RULES), 0);
+        let c = b.next(10_000_001, &wants, &RULES);
+        assert_eq!(c.part("c", 10_000_002, &RULES), 0, "clocks may be apart");
+        let d = c.next(11_100_000, &wants, &RULES);
+        assert_eq!(d.part("c", 11_100_001, &RULES), 45_000);
+        // A holder that hears nothing stops by itself.
+        assert_eq!(d.part("c", 21_050_000, &RULES), 0);
+    }
+
+    /// Holders see any grant, late, never, and forget it; clocks are apart; givers change. At no instant
+    /// is more in use than there is.
+    #[test]
+    fn parts_never_add_up_to_more_than_the_whole() {
+        let holders = ["a", "b", "c", "d"];
+        let mut full = 0;
+        for seed in 0..600 {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let off: Vec<i64> = (0..5).map(|_| rng.random_range(-25_000..25_000)).collect();
+            let wall = |now: u64, who: usize| (now as i64 + off[who]) as u64;
+            let mut newest = Grant::default();
+            let mut seen: Vec<Grant> = vec![Grant::default(); 4];
+            let mut now = 1_000_000;
+            for _ in 0..200 {
+                now += rng.random_range(0..2_000_000);
+                match rng.random_range(0..3) {
+                    0 => {
+                        let amount = |rng: &mut ChaCha8Rng| rng.random_range(0..60) * 1_000;
+                        let some = rng.random_range(1..5);
+                        let wants = holders.iter().take(some);
+                        let wants: Vec<Want> = wants.map(|h| want(h, amount(&mut rng))).collect();
+                        newest = newest.next(wall(now, 4), &wants, &RULES);
+                    }
+                    1 => seen[rng.random_range(0..4)] = newest.clone(),
+                    _ => {}
+                }
+                let used = |(i, h): (usize, &&str)| seen[i].part(h, wall(now, i), &RULES);
+                let sum: Milli = holders.iter().enumerate().map(used).sum();
+                assert!(sum <= RULES.whole, "seed {seed}: {sum}");
+                full += usize::from(sum * 10 > RULES.whole * 8);
+            }
+        }
+        assert!(full > 1_000, "most of it was in use {full} times");
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/agreement.rs
@@ -0,0 +1,201 @@
+//! Every state of a small model of the parts: holders that see grants late, never, or forget them; a
+//! giver that is relieved by another; clocks that are apart. Times are kept as seen from now, so the model
+//! goes on for ever in finitely many states. Each line that the argument rests on is also taken out, and
+//! must then be missed.
+
+use std::collections::BTreeMap;
+use walnuttrestle_admission::parts::{Grant, Part, Rules, Want};
+use walnuttrestle_explore::{Model, Seen, explore};
+
+const RULES: Rules = Rules {
+    whole: 4,
+    life: 3,
+    apart: 1,
+};
+const HOLDERS: [&str; 3] = ["a", "b", "c"];
+/// The true time, always.
+const NOW: u64 = 10;
+
+/// Which line is left out.
+#[derive(Clone, Copy, PartialEq)]
+enum Without {
+    Nothing,
+    /// What older grants still allow is forgotten with the next one.
+    Owed,
+    /// A holder takes its clock for everybody's.
+    Apart,
+    /// A relieved giver's write is carried out all the same.
+    Fence,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct State {
+    /// Something was given in this tick already: it is as often as it gets.
+    given: bool,
+    newest: Grant,
+    seen: [Grant; 3],
+    /// Which of two controllers leads.
+    lead: usize,
+    /// What the other one last saw on record, and may write upon.
+    behind: Grant,
+}
+
+#[derive(Debug, Clone)]
+#[allow(dead_code)]
+enum Step {
+    Tick,
+    Give([u64; 3]),
+    /// The relieved giver writes upon what it last saw.
+    Late([u64; 3]),
+    See(usize),
+    Forget(usize),
+    Relieve,
+}
+
+struct Parts {
+    without: Without,
+    /// How far each holder's clock is from the true time, and the givers'.
+    off: [i64; 4],
+}
+
+impl Parts {
+    fn wall(&self, i: usize) -> u64 {
+        (NOW as i64 + self.off[i]) as u64
+    }
+
+    fn next(&self, on: &Grant, wants: [u64; 3]) -> Grant {
+        let wants = HOLDERS.iter().zip(wants).map(|(h, amount)| Want {
+            holder: h.to_string(),
+            amount,
+            weight: 1.0,
+        });
+        let wants: Vec<Want> = wants.collect();
+        let mut next = on.next(self.wall(3), &wants, &RULES);
+        if self.without == Without::Owed {
+            next = Grant::default().next(self.wall(3), &wants, &RULES);
+            next.epoch = on.epoch + 1;
+        }
+        next
+    }
+}
+
+const WANTS: [[u64; 3]; 2] = [[4, 0, 0], [0, 4, 4]];
+
+/// A tick has passed: all times are a tick nearer, and what has ended for every clock says nothing.
+fn nearer(g: &mut Grant) {
+    let past = |p: &mut Part| {
+        p.until -= 1;
+        p.until + 3 > NOW
+    };
+    g.parts.retain(|_, p| past(p));
+    g.owed.retain(|_, l| {
+        l.retain_mut(past);
+        !l.is_empty()
+    });
+}
+
+impl Model for Parts {
+    type State = State;
+    type Step = Step;
+
+    fn start(&self) -> Vec<State> {
+        vec![State {
+            given: false,
+            newest: Grant::default(),
+            seen: Default::default(),
+            lead: 0,
+            behind: Grant::default(),
+        }]
+    }
+
+    fn steps(&self, s: &State) -> Vec<(Step, State)> {
+        let mut all = Vec::new();
+        let mut later = s.clone();
+        later.given = false;
+        nearer(&mut later.newest);
+        nearer(&mut later.behind);
+        later.seen.iter_mut().for_each(nearer);
+        all.push((Step::Tick, later));
+        let given = |newest: Grant| State {
+            newest,
+            given: true,
+            ..s.clone()
+        };
+        for wants in WANTS.into_iter().filter(|_| !s.given) {
+            let next = self.next(&s.newest, wants);
+            all.push((Step::Give(wants), given(next)));
+            if self.without == Without::Fence && s.lead == 1 {
+                let next = self.next(&s.behind, wants);
+                all.push((Step::Late(wants), given(next)));
+            }
+        }
+        for i in 0..3 {
+            if s.seen[i] != s.newest {
+                let mut next = s.clone();
+                next.seen[i] = s.newest.clone();
+                all.push((Step::See(i), next));
+            }
+            if s.seen[i].epoch > 0 {
+                let mut next = s.clone();
+                next.seen[i] = Grant::default();
+                all.push((Step::Forget(i), next));
+            }
+        }
+        if s.lead == 0 {
+            let mut next = s.clone();
+            next.lead = 1;
+            next.behind = match self.without {
+                Without::Fence => s.newest.clone(),
+                _ => Grant::default(),
+            };
+            all.push((Step::Relieve, next));
+        }
+        all
+    }
+
+    fn broken(&self, s: &State) -> Option<String> {
+        let rules = match self.without {
+            Without::Apart => Rules { apart: 0, ..RULES },
+            _ => RULES,
+        };
+        let used = |i: usize| s.seen[i].part(HOLDERS[i], self.wall(i), &rules);
+        let all: BTreeMap<&str, u64> = (0..3).map(|i| (HOLDERS[i], used(i))).collect();
+        (all.values().sum::<u64>() > RULES.whole).then(|| format!("in use: {all:?}"))
+    }
+
+    /// Epochs are only names.
+    fn fold(&self, mut s: State) -> State {
+        let all = [&mut s.newest, &mut s.behind];
+        all.into_iter()
+            .chain(&mut s.seen)
+            .for_each(|g| g.epoch = g.epoch.min(1));
+        s
+    }
+}
+
+fn look(without: Without, off: [i64; 4], most: usize) -> Seen<Step> {
+    explore(&Parts { without, off }, most)
+}
+
+#[test]
+fn no_state_has_more_in_use_than_there_is() {
+    // Clocks are up to a tick from the true time, either way.
+    for off in [[0, 0, 0, 0], [-1, 0, 1, 1], [-1, -1, 1, -1]] {
+        let seen = look(Without::Nothing, off, 400_000);
+        assert!(matches!(seen, Seen::All { .. }), "{}", seen.story());
+        println!("{off:?}: {}", seen.story());
+    }
+}
+
+#[test]
+fn each_line_that_is_taken_out_is_missed() {
+    for (without, off) in [
+        (Without::Owed, [0, 0, 0, 0]),
+        (Without::Apart, [-1, 0, 0, 1]),
+        (Without::Fence, [0, 0, 0, 0]),
+    ] {
+        let seen = look(without, off, 400_000);
+        assert!(matches!(seen, Seen::Broken { .. }), "{}", seen.story());
+        println!("{}", seen.story());
+    }
+}
