Acceptances wait in lanes by team and class; refusals spread the return

Need: in a flood every controller's queue of acceptances was full of one class, and whoever came next was refused, whatever class. Now each class of a team has a lane (crates/admission); teams take turns by weight, classes evenly; when the queue is full, the last one of the lane that holds most has to go. Who was refused is remembered by first attempt (8,192 ids) and goes first in its lane when it comes back; Retry-After follows the lane's own length and differs from user to user.

--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -7,10 +7,13 @@
 use crate::protocol::format::PIPELINES;
 use crate::protocol::job::{Malformed, parse, valid_id};
 use crate::protocol::records::{BUNDLED, CHUNK, Chunk, JobRec, Stage, job_key};
+use crate::protocol::settings::Team;
 use crate::protocol::wire::{Change, JobState, MachineType, Txn, json_len};
 use crate::protocol::{Kind, Micros, Settings, Spec};
 use crate::transport::{NetCmd, Outcome};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use walnuttrestle_admission::lanes::{Lanes, Taken, Ticket};
+use walnuttrestle_admission::refusal::Refusals;
 
 /// What waits for the copy to catch up.
 #[derive(Debug, Clone)]
@@ -53,31 +56,59 @@
     Edits(u64),
 }
 
+/// Where an acceptance stands.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Stand {
+    /// Waits in its lane.
+    Waits(Ticket),
+    /// Is being written.
+    Flying(Ticket),
+    /// Its transaction got no answer, or came too early: waits for another try.
+    Rests(Ticket, Micros),
+}
+
 struct Accepting {
-    nth: u64,
     conns: Vec<u64>,
     rec: JobRec,
     since: Micros,
-    flying: bool,
+    /// When its user tried first, as far as we know.
+    first: Micros,
+    stand: Stand,
     tried: bool,
     /// The state service has rejected it together with others: they may have been too many.
     alone: bool,
-    again: Micros,
 }
 
 /// Users' requests in progress.
-#[derive(Default)]
 pub struct Front {
     accepting: BTreeMap<String, Accepting>,
-    /// The same in the order in which they came.
-    order: BTreeMap<u64, String>,
-    came: u64,
+    /// Those of them that wait to be written, by team and class.
+    lanes: Lanes<String, String, String>,
+    /// Those that rest, by the time of their next try.
+    resting: BTreeSet<(Micros, String)>,
+    refusals: Refusals,
     /// Nothing of them is due before this.
     look_at: Micros,
     batches: usize,
     cancelling: BTreeMap<String, Vec<u64>>,
 }
 
+impl Default for Front {
+    fn default() -> Front {
+        Front {
+            accepting: BTreeMap::new(),
+            lanes: Lanes::new(1),
+            resting: BTreeSet::new(),
+            refusals: Refusals::new(REFUSED_KNOWN),
+            look_at: Micros::ZERO,
+            batches: 0,
+            cancelling: BTreeMap::new(),
+        }
+    }
+}
+
+/// Refused ids whose first attempt is remembered; 16 bytes each.
+const REFUSED_KNOWN: usize = 8_192;
 /// A submission is given up after this long; its user waits 5 s.
 const SUBMIT_PATIENCE: Micros = Micros::millis(4000);
 /// Submissions are queued up to what the store takes in this many seconds.
@@ -134,6 +165,16 @@
     None
 }
 
+/// What a team counts where it has to share: more, the more of the room it is guaranteed.
+fn weight_of(s: &Settings, team: &str) -> f64 {
+    let part = |of: fn(&Team) -> f64| {
+        let all: f64 = s.params.teams.iter().map(of).sum();
+        let own = s.team(team).map_or(0.0, of);
+        if all > 0.0 { own / all } else { 0.0 }
+    };
+    1.0 + part(|t| t.cpus).max(part(|t| t.gpus))
+}
+
 fn state_of(id: &str, known: &Known<'_>) -> (bool, JobState) {
     let word = |s: Stage| match s {
         Stage::Done => "done",
@@ -314,12 +355,27 @@
             a.conns.push(conn);
             return;
         }
-        // More than can be written while its user waits is refused at once.
-        let wait = self.front.accepting.len() as f64 / self.store.write_rate();
-        if wait > QUEUE_S {
-            self.refuse_until(conn, "too many submissions at once", wait.ceil() as u32);
-            return;
-        }
+        // More than can be written while its user waits is refused at once: whoever came last in the
+        // lane that holds most, so that no class is refused on account of another.
+        let most = (self.store.write_rate() * QUEUE_S) as usize + 1;
+        let f = &mut self.front;
+        let busy = f.accepting.len() - f.lanes.len();
+        f.lanes.limit(most.saturating_sub(busy).max(1));
+        let first = Micros(f.refusals.first(&id, clock.now.0));
+        let weight = weight_of(&self.settings, &spec.team);
+        let (team, class) = (spec.team.clone(), spec.class.clone());
+        let ticket = match f.lanes.push(team, weight, class, first.0, id.clone()) {
+            Taken::Waits(t) => t,
+            Taken::Instead(t, other) => {
+                self.give_up(clock, &other);
+                t
+            }
+            Taken::Refused(_) => {
+                let after = self.come_again(clock, &id, first, &spec);
+                self.refuse_until(conn, "too many submissions at once", after);
+                return;
+            }
+        };
         let rec = JobRec {
             spec,
             at: clock.wall,
@@ -328,49 +384,90 @@
             first: Chunk::default(),
             cleaned: false,
         };
-        self.front.came += 1;
         let a = Accepting {
-            nth: self.front.came,
             conns: vec![conn],
             rec,
             since: clock.now,
-            flying: false,
+            first,
+            stand: Stand::Waits(ticket),
             tried: false,
             alone: false,
-            again: clock.now,
         };
-        self.front.accepting.insert(id.clone(), a);
-        self.front.order.insert(self.front.came, id);
+        self.front.accepting.insert(id, a);
         self.front.look_at = Micros::ZERO;
     }
 
+    /// Seconds after which a refused submission had better come again; its first try is remembered.
+    fn come_again(&mut self, clock: Clock, id: &str, first: Micros, spec: &Spec) -> u32 {
+        let f = &mut self.front;
+        f.refusals.refuse(id, first.0, clock.now.0);
+        let ahead = f.lanes.waiting(&spec.team, &spec.class);
+        let lanes = f.lanes.sizes().filter(|(_, _, n)| *n > 0).count().max(1);
+        let rate = self.store.write_rate() / lanes as f64;
+        f.refusals.retry_after(id, ahead, rate, clock.now.0)
+    }
+
+    /// Refuses an acceptance that is not being written.
+    fn give_up(&mut self, clock: Clock, id: &str) {
+        let Some(a) = self.front.accepting.get_mut(id) else {
+            return;
+        };
+        let (conns, first) = (std::mem::take(&mut a.conns), a.first);
+        let spec = a.rec.spec.clone();
+        self.forget_accepting(id);
+        let after = self.come_again(clock, id, first, &spec);
+        for conn in conns {
+            self.refuse_until(conn, "too many submissions at once", after);
+        }
+    }
+
     /// How many acceptances wait to be written.
-    pub fn accepts_due(&self, now: Micros) -> usize {
-        if self.front.batches >= BATCHES {
+    pub fn accepts_due(&mut self, now: Micros) -> usize {
+        let settings = &self.settings;
+        let f = &mut self.front;
+        while let Some((at, id)) = f.resting.pop_first() {
+            if at > now {
+                f.resting.insert((at, id));
+                break;
+            }
+            if let Some(a) = f.accepting.get_mut(&id)
+                && let Stand::Rests(ticket, _) = a.stand
+            {
+                a.stand = Stand::Waits(ticket);
+                let s = &a.rec.spec;
+                let weight = weight_of(settings, &s.team);
+                f.lanes
+                    .back(s.team.clone(), weight, s.class.clone(), ticket, id);
+            }
+        }
+        if f.batches >= BATCHES {
             return 0;
         }
-        let waiting = self.front.accepting.values();
-        waiting.filter(|a| !a.flying && a.again <= now).count()
+        f.lanes.len()
     }
 
-    /// Writes acceptances, first come first, at most `most` in a transaction.
-    pub fn write_accepts(&mut self, clock: Clock, most: usize) {
+    /// Writes acceptances, each lane in its turn, at most `most` in a transaction.
+    pub fn write_accepts(&mut self, most: usize) {
         let mut ids = Vec::new();
         let mut changes = Vec::new();
         let mut conds = Vec::new();
-        for id in self.front.order.values() {
-            let Some(a) = self.front.accepting.get_mut(id) else {
+        while ids.len() < most
+            && let Some((team, class, ticket, id)) = self.front.lanes.pop()
+        {
+            let Some(a) = self.front.accepting.get_mut(&id) else {
                 continue;
             };
-            if a.flying || a.again > clock.now || (a.alone && !ids.is_empty()) {
-                continue;
+            if a.alone && !ids.is_empty() {
+                let weight = weight_of(&self.settings, &team);
+                self.front.lanes.back(team, weight, class, ticket, id);
+                break;
             }
-            a.flying = true;
-            let key = job_key(id);
+            a.stand = Stand::Flying(ticket);
+            let key = job_key(&id);
             changes.push(put(&key, &a.rec, None));
             conds.push(cond(&key, 0));
-            ids.push(id.clone());
-            if ids.len() >= most || a.alone {
+            ids.push(id);
+            if a.alone {
                 break;
             }
         }
@@ -425,7 +522,7 @@
                         self.want_barrier(clock, Waiter::Resubmit { conn, id, status });
                     }
                 }
-                Reply::Conflict(_) => a.flying = false,
+                Reply::Conflict(_) => self.rest(&id, clock.now),
                 Reply::Rejected if alone => {
                     let conns = std::mem::take(&mut a.conns);
                     self.forget_accepting(&id);
@@ -434,13 +531,12 @@
                     }
                 }
                 Reply::Rejected => {
-                    a.flying = false;
                     a.alone = true;
+                    self.rest(&id, clock.now);
                 }
                 Reply::Lost | Reply::TooFast if clock.now < a.since + SUBMIT_PATIENCE => {
-                    a.flying = false;
                     a.tried |= reply == Reply::Lost;
-                    a.again = clock.now + AGAIN;
+                    self.rest(&id, clock.now + AGAIN);
                 }
                 _ => {
                     let conns = std::mem::take(&mut a.conns);
@@ -453,9 +549,29 @@
         }
     }
 
+    /// An acceptance was not written; it is tried again from then on.
+    fn rest(&mut self, id: &str, again: Micros) {
+        let f = &mut self.front;
+        if let Some(a) = f.accepting.get_mut(id)
+            && let Stand::Flying(ticket) = a.stand
+        {
+            a.stand = Stand::Rests(ticket, again);
+            f.resting.insert((again, id.to_string()));
+        }
+    }
+
     fn forget_accepting(&mut self, id: &str) {
-        if let Some(a) = self.front.accepting.remove(id) {
-            self.front.order.remove(&a.nth);
+        let f = &mut self.front;
+        let Some(a) = f.accepting.remove(id) else {
+            return;
+        };
+        match a.stand {
+            Stand::Waits(ticket) => {
+                let s = &a.rec.spec;
+                f.lanes.remove(&s.team, &s.class, ticket);
+            }
+            Stand::Rests(_, at) => _ = f.resting.remove(&(at, id.to_string())),
+            Stand::Flying(_) => {}
         }
     }
 
@@ -581,24 +697,15 @@
         let mut late = Vec::new();
         let mut next = Micros::FAR;
         for (id, a) in &self.front.accepting {
-            if a.flying {
-                continue;
-            }
-            if a.since + SUBMIT_PATIENCE <= clock.now {
-                late.push(id.clone());
-            } else if a.again > clock.now {
-                next = next.min(a.again);
-            } else {
-                next = next.min(a.since + SUBMIT_PATIENCE);
+            match a.stand {
+                Stand::Flying(_) => {}
+                _ if a.since + SUBMIT_PATIENCE <= clock.now => late.push(id.clone()),
+                Stand::Rests(_, at) if at > clock.now => next = next.min(at),
+                _ => next = next.min(a.since + SUBMIT_PATIENCE),
             }
         }
         for id in late {
-            let a = self.front.accepting.get_mut(&id);
-            let conns = a.map(|a| std::mem::take(&mut a.conns)).unwrap_or_default();
-            self.forget_accepting(&id);
-            for conn in conns {
-                self.refuse(conn, 503, "too many submissions at once");
-            }
+            self.give_up(clock, &id);
         }
         self.front.look_at = next;
         next
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -335,7 +335,7 @@
             if self.turn {
                 self.write_edits(clock, room);
             } else {
-                self.write_accepts(clock, room);
+                self.write_accepts(room);
             }
             self.store.pump(now, &mut self.next_id, &mut self.out);
         }
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -205,3 +205,48 @@
     assert!(done(&w, 0..300) > 150, "{}", done(&w, 0..300));
     in_turn(&w, 60);
 }
+
+/// One class asks for many times what the store takes; another for a job every three seconds, on
+/// whichever controller. Returns when each of the latter was accepted, in seconds.
+fn beside_a_flood(seed: u64, trouble: impl FnOnce(&mut World) + 'static) -> Vec<f64> {
+    let mut w = World::with_budget(seed, 3, MACHINES, 12.0);
+    w.no_capacity = true;
+    w.run(6);
+    for n in 0..900 {
+        let at = n as u64 * SEC / 30;
+        w.after(at, move |w| w.user(&id(n), job(Kind::Array, 1, 1.0), SEC));
+    }
+    w.after(8 * SEC, trouble);
+    let mut took = Vec::new();
+    for n in 0..9 {
+        let rare = id(800_000 + n);
+        let mut spec = job(Kind::Array, 1, 1.0);
+        spec.class = "rare".into();
+        w.user(&rare, spec, SEC);
+        let began = w.now;
+        while !w.jobs[&rare].accepted && w.now < began + 40 * SEC {
+            w.step_for(SEC / 10);
+        }
+        took.push((w.now - began) as f64 / SEC as f64);
+        w.run(3);
+    }
+    took
+}
+
+#[test]
+fn a_class_that_floods_keeps_nobody_else_from_being_accepted() {
+    let took = beside_a_flood(11, |_| {});
+    assert!(took.iter().all(|s| *s < 4.0), "{took:?}");
+}
+
+#[test]
+fn nor_does_it_while_a_controller_is_lost_and_another_cut_off() {
+    let took = beside_a_flood(12, |w| {
+        let i = w.leader().expect("a leader");
+        w.crash(i, 6 * SEC);
+        w.cut(Party::Node((i + 1) % 3), Party::Store, Cut::Hold, 8 * SEC);
+    });
+    let late = took.iter().filter(|s| **s > 4.0).count();
+    // Nothing can be durable while nobody leads or the store is out of reach.
+    assert!(late <= 3 && took.iter().all(|s| *s < 15.0), "{took:?}");
+}
