--- a/crates/explore/src/lib.rs
+++ b/crates/explore/src/lib.rs
@@ -80,13 +80,15 @@
     depth: usize,
 }
 
+/// A state, and from which other it was reached by which step.
+type Reached<M> = (<M as Model>::State, Option<(usize, <M as Model>::Step)>);
+
 /// Looks at up to `most` states.
 pub fn explore<M: Model>(model: &M, most: usize) -> Seen<M::Step> {
     let mut number: HashMap<M::State, usize> = HashMap::new();
     let mut found: Vec<Found<M>> = Vec::new();
     let mut open: VecDeque<(usize, M::State)> = VecDeque::new();
-    let mut first: Vec<(M::State, Option<(usize, M::Step)>)> =
-        model.start().into_iter().map(|s| (s, None)).collect();
+    let mut first: Vec<Reached<M>> = model.start().into_iter().map(|s| (s, None)).collect();
     loop {
         for (state, from) in first.drain(..) {
             let state = model.fold(state);
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -533,11 +533,11 @@
         if vain.covers(need.need, many) {
             return n;
         }
-        let mut open = self.rooms.candidates("", need.need, need.allow);
         if need.gang {
             let shape = need.shape();
             let spec = job().map(|j| &j.rec.spec);
-            let all = open.into_iter();
+            let all = self.rooms.candidates("", need.need, need.allow);
+            let all = all.into_iter();
             let found = spec.and_then(|s| placement::gang(&self.rooms, all, "", s, &shape, n, 1.0));
             let Some(found) = found else {
                 vain.add(need.need, n);
@@ -548,10 +548,8 @@
             }
             return 0;
         }
-        // The newest come last, and have room.
-        open.sort_unstable_by(|a, b| b.cmp(a));
         let mut left = n;
-        for h in open {
+        for h in self.rooms.enough(need.need, need.allow, n) {
             let k = slots(&self.rooms[h].free, need.need).min(left);
             self.rooms.take(h, &need.need.map(|x| x * k as f64));
             left -= k;
--- a/src/coordination/rooms.rs
+++ b/src/coordination/rooms.rs
@@ -4,7 +4,7 @@
 //! kept by how much is free on them: whether anything could take a task, and what could, is found
 //! without looking at the full ones.
 
-use super::placement::{Allow, Amounts, Host, may_take};
+use super::placement::{Allow, Amounts, Host, may_take, slots};
 use std::collections::BTreeMap;
 use std::ops::Deref;
 
@@ -183,6 +183,23 @@
             .any(|h| may_take(&self.hosts[h], "", need, allow))
     }
 
+    /// Machines that would take so many tasks between them, or all there are; those with least room
+    /// first. Nobody's machines are kept for anybody here.
+    pub fn enough(&self, need: &Amounts, allow: &Allow, n: u32) -> Vec<usize> {
+        let mut left = n;
+        let mut found = Vec::new();
+        for h in self.roomy(need, allow) {
+            if left == 0 {
+                break;
+            }
+            if may_take(&self.hosts[h], "", need, allow) {
+                left = left.saturating_sub(slots(&self.hosts[h].free, need));
+                found.push(h);
+            }
+        }
+        found
+    }
+
     /// All machines that would take a task of this job, in no order.
     pub fn candidates(&self, id: &str, need: &Amounts, allow: &Allow) -> Vec<usize> {
         self.roomy(need, allow)
@@ -225,7 +242,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::coordination::placement::slots;
     use rand::{RngExt, SeedableRng};
     use rand_chacha::ChaCha8Rng;
     use std::sync::Arc;
@@ -279,6 +295,13 @@
                     found.sort_unstable();
                     assert_eq!(found, all, "seed {seed}, step {step}");
                     if id.is_empty() {
+                        let n = rng.random_range(1..40);
+                        let some = rooms.enough(&need, &allow, n);
+                        let room = |l: &[usize]| -> u32 {
+                            l.iter().map(|h| slots(&plain[*h].free, &need)).sum()
+                        };
+                        assert!(room(&some) >= n.min(room(&all)), "seed {seed}");
+                        assert!(some.iter().all(|h| all.contains(h)), "seed {seed}");
                         assert_eq!(rooms.any(&need, &allow), !all.is_empty(), "seed {seed}");
                     }
                     if let Some(h) = all.first() {
