Gangs that have waited for a minute may stop single tasks of a lower priority that cannot save

Cause: under a flood of arrays each place that becomes free is taken by the next task in line or by backfill, so whole machines never are. Priorities let them stop what is lower, but only what saves was stopped for them.

Change: after a minute's wait it need not save. Classes that have a tenth of the machines or less give nothing up, so that no class is driven out by it. PROTOCOL ("Preemption") allows it; docs/design.md.

--- a/src/coordination/backlog.rs
+++ b/src/coordination/backlog.rs
@@ -63,6 +63,8 @@
     pub kind: Kind,
     /// Team, by name.
     pub team: u32,
+    /// Class of jobs, by name.
+    pub class: u32,
     /// Own priority.
     pub priority: Priority,
     /// Which machines it may use.
@@ -284,6 +286,7 @@
         let form = Form {
             kind: spec.kind,
             team: self.names.id(&spec.team),
+            class: self.names.id(&spec.class),
             priority: spec.priority,
             allow,
             one_zone: spec.one_zone,
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -8,6 +8,7 @@
 use super::leader::{Leader, grace};
 use super::node::{Clock, Node};
 use super::pipeline::Lifted;
+use super::placement::add;
 use super::policy::Policy;
 use super::queue::{self, Item, Met, PLACES, TeamRoom};
 use super::recovery::Recovery;
@@ -16,6 +17,7 @@
 use crate::bookkeeping::mirror::{Job, Mirror};
 use crate::protocol::records::Entry;
 use crate::protocol::{Kind, Micros, Settings};
+use foldhash::{HashMap, HashMapExt};
 use std::collections::HashSet;
 
 /// Room made for a job is kept for it this long; stops take a save and a report or two.
@@ -159,6 +161,10 @@
         fetch_rate: rates.fold(f64::INFINITY, f64::min).max(1e-3),
         wall: clock.wall,
     };
+    let mut all = [0.0; 3];
+    for h in &hosts.list {
+        add(&mut all, &h.total);
+    }
     let mut survey = Survey {
         leader: l,
         mirror,
@@ -167,6 +173,8 @@
         clock,
         hosts,
         room,
+        all,
+        used: HashMap::new(),
         victims: Vec::new(),
         items: Vec::new(),
         near: Vec::new(),
@@ -177,6 +185,7 @@
         mut hosts,
         mut room,
         mut victims,
+        used,
         items: mut near,
         near: slots,
         found,
@@ -195,6 +204,7 @@
     if !learnt {
         victims.clear();
     }
+    queue::spare(&mut victims, &used);
     let far = Far::new(&scene, slots.into_iter());
     let plan = queue::pass(&near, &far, &mut rooms, &victims, &mut room, b_max);
     let wants = Wants {
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -11,6 +11,7 @@
 use super::recovery::Recovery;
 use super::rooms::{Rooms, Vain};
 use crate::protocol::{Kind, Micros, Priority, Spec};
+use foldhash::HashMap;
 use std::collections::BTreeMap;
 
 /// A job with tasks to start.
@@ -73,6 +74,21 @@
     pub surplus: bool,
     /// Stops alone.
     pub single: bool,
+    /// Its class, by name.
+    pub class: u32,
+    /// Its class has so little of the room that it gives none of it up to what has merely waited long.
+    pub spared: bool,
+}
+
+/// A class that has no more than this part of the machines is spared.
+const SPARED: f64 = 0.1;
+
+/// Marks the victims of classes that have little. `used`: by class, what its tasks take, each as the
+/// part of all machines that is scarcest for it.
+pub fn spare(victims: &mut [Victim<'_>], used: &HashMap<u32, f64>) {
+    for v in victims {
+        v.spared = used.get(&v.class).is_none_or(|u| *u <= SPARED);
+    }
 }
 
 /// What teams may still take, by their names' numbers: CPUs and GPUs.
@@ -179,7 +195,7 @@
             priority: item.priority,
             team: item.team,
             guaranteed: item.guaranteed,
-            overdue: item.guaranteed && item.overdue,
+            overdue: item.overdue,
             top,
         }
     }
@@ -196,7 +212,11 @@
         // lose little; by gangs, which stop as a whole, when nothing else has helped.
         let surplus = v.surplus && v.team != self.team && (v.single || self.overdue);
         let owed = self.guaranteed && surplus;
-        (self.top && gang && v.backfilled) || lower || owed
+        // Under a flood of single tasks whole machines are never free by themselves: backfilled tasks of
+        // the next in line take each place as it comes. A gang that has waited for long need not mind
+        // whether what stops can save.
+        let aged = gang && self.overdue && v.single && !v.spared && v.priority < self.priority;
+        (self.top && gang && v.backfilled) || lower || owed || aged
     }
 }
 
@@ -418,7 +438,7 @@
                     priority: self.far.priority(form, at.1),
                     team: form.team,
                     guaranteed,
-                    overdue: guaranteed && self.far.overdue(brief),
+                    overdue: self.far.overdue(brief),
                     top,
                 };
                 if self.hopeless.contains(&claim) {
@@ -723,6 +743,8 @@
             team: 0,
             surplus: false,
             single: true,
+            class: 0,
+            spared: false,
         }
     }
 
@@ -780,4 +802,41 @@
             assert!(plan.stops.is_empty() && plan.places[0].host == 0);
         }
     }
+
+    #[test]
+    fn a_gang_that_has_waited_for_long_takes_the_place_of_what_cannot_save() {
+        let gang = Spec {
+            priority: Priority::High,
+            ..Spec::sample(Kind::Gang)
+        };
+        let full = [host(0.0, &[]), host(0.0, &[])];
+        let array = Victim {
+            saves: false,
+            ..victim(Priority::Normal)
+        };
+        let waits = |overdue| Item {
+            overdue,
+            ..item(&gang, 1.0)
+        };
+        let stops =
+            |item, victim: &Victim<'static>| run(item, &full, std::slice::from_ref(victim)).stops;
+        assert!(stops(waits(false), &array).is_empty());
+        assert_eq!(stops(waits(true), &array), [("req-1".to_string(), 3)]);
+        // Not of a class that has little, not of its own priority, and no gang.
+        let spared = Victim {
+            spared: true,
+            ..array.clone()
+        };
+        let equal = Victim {
+            priority: Priority::High,
+            ..array.clone()
+        };
+        let other = Victim {
+            single: false,
+            ..array.clone()
+        };
+        for v in [spared, equal, other] {
+            assert!(stops(waits(true), &v).is_empty());
+        }
+    }
 }
--- a/src/coordination/survey.rs
+++ b/src/coordination/survey.rs
@@ -5,7 +5,7 @@
 use super::far::Scene;
 use super::leader::{FRESH_REPORTS, Leader, grace, sick};
 use super::node::Clock;
-use super::placement::{Host, Names};
+use super::placement::{Amounts, Host, Names, size};
 use super::policy::Policy;
 use super::queue::{Item, PLACES, TeamRoom, Victim};
 use super::recovery::Lost;
@@ -118,6 +118,10 @@
     pub hosts: Hosts<'a>,
     /// What teams may still take.
     pub room: TeamRoom,
+    /// What all machines hold together.
+    pub all: Amounts,
+    /// By class, the part of that which its tasks take.
+    pub used: HashMap<u32, f64>,
     /// Tasks that may have to make room.
     pub victims: Vec<Victim<'a>>,
     /// Jobs with tasks to start.
@@ -344,6 +348,8 @@
                             team: form.team,
                             surplus: !guaranteed,
                             single: spec.kind == Kind::Array,
+                            class: form.class,
+                            spared: false,
                         });
                     }
                     self.hosts.list[h].zone
@@ -357,6 +363,7 @@
                 },
             };
             self.room.take(form.team, &row.need);
+            *self.used.entry(form.class).or_default() += size(&self.all, &row.need);
             present.push((zone, at.host));
         }
         self.found.placed += present.len() + lost;
--- a/tests/passes.rs
+++ b/tests/passes.rs
@@ -145,7 +145,7 @@
             Priority::Production,
         ];
         Spec {
-            class: "c".into(),
+            class: ["c", "d", "e"][rng.random_range(0..3)].into(),
             team: ["red", "blue"][rng.random_range(0..2)].into(),
             kind,
             priority: priorities[rng.random_range(0..4)],
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -1,7 +1,8 @@
 //! A pass as it was made before the queue was kept (its version of 2026-12-01, commit 8b93c06): every
 //! job is surveyed, sorted and tried against every machine. Kept as the plain reference to which the
 //! scheduler's passes are compared, and as what they are measured against. The largest demand counts
-//! before the walk, as it does now; all else is as it was.
+//! before the walk, and a gang that has waited for long takes the place of tasks that cannot save, as now; all
+//! else is as it was.
 
 #![allow(dead_code)]
 
@@ -84,6 +85,11 @@
     let lifted = Lifted::new(mirror);
     let rates = mirror.types.iter().flatten().map(|t| t.fetch_gb_per_s);
     let fetch_rate = rates.fold(f64::INFINITY, f64::min).max(1e-3);
+    let mut all = [0.0; 3];
+    for h in &hosts.list {
+        placement::add(&mut all, &h.total);
+    }
+    let mut used: HashMap<&str, f64> = HashMap::new();
     for (id, job) in &mirror.jobs {
         let item = survey(
             l,
@@ -92,6 +98,7 @@
             &mut hosts,
             &mut names,
             &mut room,
+            (&all, &mut used),
             &mut victims,
             &mut found,
             within.contains(id.as_str()),
@@ -115,6 +122,11 @@
     if !l.learnt(settings, now) {
         victims.clear();
     }
+    let class = |id: &str| mirror.jobs[id].rec.spec.class.as_str();
+    for v in &mut victims {
+        let used = used.get(class(v.job)).copied().unwrap_or(0.0);
+        v.spared = used <= 0.1;
+    }
     let typical = hosts.list.first().map_or([1.0; 3], |h| h.total);
     let waits = mirror.jobs.values().filter(|j| j.active() && !j.waits());
     let demands = waits.map(|j| {
@@ -202,6 +214,7 @@
     hosts: &mut Hosts,
     names: &mut Names,
     room: &mut Room,
+    (all, used): (&[f64; 3], &mut HashMap<&'a str, f64>),
     victims: &mut Vec<Victim<'a>>,
     found: &mut Plain,
     guaranteed: bool,
@@ -296,6 +309,8 @@
                         team,
                         surplus: !guaranteed,
                         single: spec.kind == Kind::Array,
+                        class: 0,
+                        spared: false,
                     });
                 }
                 host.zone
@@ -312,6 +327,7 @@
             r[0] -= spec.cpus;
             r[1] -= spec.gpus;
         }
+        *used.entry(&spec.class).or_default() += placement::size(all, &shape.need);
         present.push((zone, at));
     }
     if !job.active() {
@@ -681,9 +697,10 @@
         // lose little; by gangs, which stop as a whole, when nothing else has helped.
         let surplus = v.surplus && v.team != item.team && (v.single || item.overdue);
         let owed = item.guaranteed && surplus;
+        let aged = gang && item.overdue && v.single && !v.spared && v.priority < item.priority;
         hosts[v.host].reserved.is_none()
             && plan.reserved.iter().all(|(h, _)| *h != v.host)
-            && ((top && gang && v.backfilled) || lower || owed)
+            && ((top && gang && v.backfilled) || lower || owed || aged)
     };
     let victims: Vec<&Victim<'_>> = victims.iter().filter(may).collect();
     if victims.is_empty() {
