The agreement on parts covers controllers that have seen no grant yet

A controller uses a fixed part until it has seen the first grant; until it tells that it has, that part is nobody else's.

--- a/crates/admission/src/parts.rs
+++ b/crates/admission/src/parts.rs
@@ -57,6 +57,9 @@
     pub amount: Milli,
     /// What it counts.
     pub weight: f64,
+    /// What it may use without any grant, for all we know: it has not told that it has seen one since
+    /// grants began.
+    pub loose: Milli,
 }
 
 impl Grant {
@@ -75,6 +78,13 @@
         open.map(|p| p.amount).max().unwrap_or(0)
     }
 
+    /// Nobody may use anything of any grant so far any more, whichever they have seen.
+    pub fn over(&self, wall: Micros, rules: &Rules) -> bool {
+        let owed = self.owed.values().flatten();
+        let mut all = self.parts.values().chain(owed);
+        all.all(|p| wall >= p.until + rules.apart)
+    }
+
     /// The next grant, given at this time of day. Whoever may still be using more than they get keeps
     /// the others waiting for the rest.
     pub fn next(&self, wall: Micros, wants: &[Want], rules: &Rules) -> Grant {
@@ -84,7 +94,12 @@
         });
         let asked: Vec<Asked> = asked.collect();
         let fair = shares(rules.whole as f64, &asked);
-        let fair: Vec<Milli> = fair.into_iter().map(|f| f as Milli).collect();
+        // What nobody asks for goes to all, by weight: they may ask in a moment.
+        let left = (rules.whole as f64 - fair.iter().sum::<f64>()).max(0.0);
+        let weights: f64 = wants.iter().map(|w| w.weight).sum();
+        let even = |w: &Want| left * w.weight / weights.max(1e-9);
+        let fair = fair.into_iter().zip(wants).map(|(f, w)| f + even(w));
+        let fair: Vec<Milli> = fair.map(|f| f as Milli).collect();
         let mut owed: BTreeMap<String, Vec<Part>> = BTreeMap::new();
         let holders = self.parts.keys().chain(self.owed.keys());
         for h in holders {
@@ -92,11 +107,19 @@
                 owed.insert(h.clone(), self.open(h, wall, rules));
             }
         }
+        let loose = |h: &String| {
+            let want = wants.iter().find(|w| w.holder == *h);
+            want.map_or(0, |w| w.loose)
+        };
         let bound = |h: &String| {
             let parts = owed.get(h).into_iter().flatten();
-            parts.map(|p| p.amount).max().unwrap_or(0)
+            parts.map(|p| p.amount).max().unwrap_or(0).max(loose(h))
         };
-        let used: Milli = owed.keys().map(bound).sum();
+        let more = wants.iter().map(|w| &w.holder);
+        let mut holders: Vec<&String> = owed.keys().chain(more).collect();
+        holders.sort();
+        holders.dedup();
+        let used: Milli = holders.into_iter().map(bound).sum();
         let free = rules.whole.saturating_sub(used);
         // What anybody is to have beyond what it may be using already comes out of what is free.
         let more: Vec<Milli> = (wants.iter().zip(&fair))
@@ -106,7 +129,7 @@
         let until = wall + rules.life;
         let mut parts = BTreeMap::new();
         for ((w, fair), more) in wants.iter().zip(&fair).zip(&more) {
-            let held = (*fair).min(bound(&w.holder));
+            let held = (*fair).max(w.loose).min(bound(&w.holder));
             let extra = if all <= free {
                 *more
             } else {
@@ -166,6 +189,7 @@
             holder: holder.into(),
             amount,
             weight: 1.0,
+            loose: 0,
         }
     }
 
