Controllers lend one another half of the store's budget, by grants on record (format 4)

Need: each controller had a fixed share of the store's changes. A flood that comes to one of them was refused there while the others' shares lay idle, and nothing was agreed on.

Controllers tell in heartbeats what they ask for and which grant they have seen. Once anybody asks for more than it lends, the leader writes every 3 s which part of the lent half each may use (wt/parts), conditional on its lead and on the grant before; a part ends by the time of day, 1.5 s and the clocks' bound early for its holder and late for the giver. In calm times nothing is written and shares are what they were. coordination/budget holds the shares (moved out of node.rs).

--- a/crates/admission/src/parts.rs
+++ b/crates/admission/src/parts.rs
@@ -24,6 +24,8 @@
     pub amount: Milli,
     /// Until this time of day.
     pub until: Micros,
+    /// Number of the grant.
+    pub epoch: u64,
 }
 
 /// What is on record.
@@ -60,6 +62,8 @@
     /// What it may use without any grant, for all we know: it has not told that it has seen one since
     /// grants began.
     pub loose: Milli,
+    /// Number of the newest grant that it has told of: it uses no older one any more.
+    pub seen: u64,
 }
 
 impl Grant {
@@ -78,13 +82,6 @@
         open.map(|p| p.amount).max().unwrap_or(0)
     }
 
-    /// Nobody may use anything of any grant so far any more, whichever they have seen.
-    pub fn over(&self, wall: Micros, rules: &Rules) -> bool {
-        let owed = self.owed.values().flatten();
-        let mut all = self.parts.values().chain(owed);
-        all.all(|p| wall >= p.until + rules.apart)
-    }
-
     /// The next grant, given at this time of day. Whoever may still be using more than they get keeps
     /// the others waiting for the rest.
     pub fn next(&self, wall: Micros, wants: &[Want], rules: &Rules) -> Grant {
@@ -104,7 +101,9 @@
         let holders = self.parts.keys().chain(self.owed.keys());
         for h in holders {
             if !owed.contains_key(h) {
-                owed.insert(h.clone(), self.open(h, wall, rules));
+                let want = wants.iter().find(|w| w.holder == *h);
+                let seen = want.map_or(0, |w| w.seen);
+                owed.insert(h.clone(), self.open(h, seen, wall, rules));
             }
         }
         let loose = |h: &String| {
@@ -136,12 +135,17 @@
                 (*more as u128 * free as u128 / all as u128) as Milli
             };
             let amount = held + extra;
-            parts.insert(w.holder.clone(), Part { amount, until });
+            let part = Part {
+                amount,
+                until,
+                epoch: self.epoch + 1,
+            };
+            parts.insert(w.holder.clone(), part);
         }
         // An older part that allows no more than the new one, and ends no later, need not be told.
         owed.retain(|h, list| {
             if let Some(new) = parts.get(h) {
-                list.retain(|p| p.amount > new.amount || p.until > new.until);
+                list.retain(|p: &Part| p.amount > new.amount || p.until > new.until);
             }
             !list.is_empty()
         });
@@ -153,21 +157,14 @@
     }
 
     /// Parts of all grants so far that a holder may still be using.
-    fn open(&self, holder: &str, wall: Micros, rules: &Rules) -> Vec<Part> {
+    fn open(&self, holder: &str, seen: u64, wall: Micros, rules: &Rules) -> Vec<Part> {
         let all = self.parts.get(holder).into_iter();
         let all = all.chain(self.owed.get(holder).into_iter().flatten());
         let mut open: Vec<Part> = all
-            .filter(|p| wall < p.until + rules.apart)
+            .filter(|p| wall < p.until + rules.apart && p.epoch >= seen)
             .copied()
             .collect();
-        // Of two, one that is neither larger nor lasts longer says nothing.
         open.sort_by(|a, b| b.cmp(a));
-        let mut lasts = 0;
-        open.retain(|p| {
-            let says = p.until > lasts;
-            lasts = lasts.max(p.until);
-            says
-        });
         open
     }
 }
@@ -190,6 +187,7 @@
             amount,
             weight: 1.0,
             loose: 0,
+            seen: 0,
         }
     }
 
@@ -210,6 +208,14 @@
         assert_eq!(c.part("c", 10_000_002, &RULES), 0, "clocks may be apart");
         let d = c.next(11_100_000, &wants, &RULES);
         assert_eq!(d.part("c", 11_100_001, &RULES), 45_000);
+        // A holder that tells that it has seen a newer grant frees what the older one allowed.
+        let told = Want {
+            seen: 2,
+            ..want("a", 0)
+        };
+        let wants = [told, want("b", 80_000), want("c", 80_000)];
+        let e = b.next(2_000_000, &wants, &RULES);
+        assert_eq!(e.part("c", 2_000_001, &RULES), 45_000);
         // A holder that hears nothing stops by itself.
         assert_eq!(d.part("c", 21_050_000, &RULES), 0);
     }
--- a/crates/admission/tests/agreement.rs
+++ b/crates/admission/tests/agreement.rs
@@ -7,11 +7,6 @@
 use walnuttrestle_admission::parts::{Grant, Part, Rules, Want};
 use walnuttrestle_explore::{Model, Seen, explore};
 
-const RULES: Rules = Rules {
-    whole: 4,
-    life: 3,
-    apart: 1,
-};
 const HOLDERS: [&str; 3] = ["a", "b", "c"];
 /// The true time, always.
 const NOW: u64 = 10;
@@ -26,6 +21,8 @@
     Apart,
     /// A relieved giver's write is carried out all the same.
     Fence,
+    /// A grant is taken for seen as soon as it is on record.
+    Told,
     /// Whoever has not told that it has seen a grant is taken to have.
     Loose,
 }
@@ -36,8 +33,8 @@
     given: bool,
     newest: Grant,
     seen: [Grant; 3],
-    /// Who has told that it has seen a grant.
-    told: [bool; 3],
+    /// The newest grant that each has told of.
+    told: [u64; 3],
     /// Which of two controllers leads.
     lead: usize,
     /// What the other one last saw on record, and may write upon.
@@ -64,6 +61,9 @@
     holders: usize,
     /// What each uses before it has seen any grant.
     loose: u64,
+    /// Whether they tell which grant they have seen.
+    tell: bool,
+    rules: Rules,
 }
 
 impl Parts {
@@ -71,21 +71,26 @@
         (NOW as i64 + self.off[i]) as u64
     }
 
-    fn next(&self, on: &Grant, told: &[bool; 3], wants: [u64; 3]) -> Grant {
+    fn next(&self, on: &Grant, told: &[u64; 3], wants: [u64; 3]) -> Grant {
         let all = HOLDERS.iter().zip(wants).zip(told).take(self.holders);
         let wants = all.map(|((h, amount), told)| Want {
             holder: h.to_string(),
             amount,
             weight: 1.0,
             loose: match told {
-                false if self.without != Without::Loose => self.loose,
+                0 if self.without != Without::Loose => self.loose,
                 _ => 0,
             },
+            seen: match self.without {
+                // It counts as soon as it is written.
+                Without::Told => on.epoch,
+                _ => *told,
+            },
         });
         let wants: Vec<Want> = wants.collect();
-        let mut next = on.next(self.wall(3), &wants, &RULES);
+        let mut next = on.next(self.wall(3), &wants, &self.rules);
         if self.without == Without::Owed {
-            next = Grant::default().next(self.wall(3), &wants, &RULES);
+            next = Grant::default().next(self.wall(3), &wants, &self.rules);
             next.epoch = on.epoch + 1;
         }
         next
@@ -116,7 +121,7 @@
             given: false,
             newest: Grant::default(),
             seen: Default::default(),
-            told: [false; 3],
+            told: [0; 3],
             lead: 0,
             behind: Grant::default(),
         }]
@@ -149,9 +154,9 @@
                 next.seen[i] = s.newest.clone();
                 all.push((Step::See(i), next));
             }
-            if self.loose > 0 && s.seen[i].epoch > 0 && !s.told[i] {
+            if self.tell && s.seen[i].epoch > s.told[i] {
                 let mut next = s.clone();
-                next.told[i] = true;
+                next.told[i] = s.seen[i].epoch;
                 all.push((Step::Tell(i), next));
             }
         }
@@ -169,61 +174,92 @@
 
     fn broken(&self, s: &State) -> Option<String> {
         let rules = match self.without {
-            Without::Apart => Rules { apart: 0, ..RULES },
-            _ => RULES,
+            Without::Apart => Rules {
+                apart: 0,
+                ..self.rules
+            },
+            _ => self.rules,
         };
         let used = |i: usize| match s.seen[i].epoch {
             0 => self.loose,
             _ => s.seen[i].part(HOLDERS[i], self.wall(i), &rules),
         };
         let all: BTreeMap<&str, u64> = (0..self.holders).map(|i| (HOLDERS[i], used(i))).collect();
-        (all.values().sum::<u64>() > RULES.whole).then(|| format!("in use: {all:?}"))
+        (all.values().sum::<u64>() > self.rules.whole).then(|| format!("in use: {all:?}"))
     }
 
-    /// Epochs are only names.
+    /// Epochs are only names: what counts is their order.
     fn fold(&self, mut s: State) -> State {
-        let all = [&mut s.newest, &mut s.behind];
-        all.into_iter()
-            .chain(&mut s.seen)
-            .for_each(|g| g.epoch = g.epoch.min(1));
+        fn each(s: &mut State, mut f: impl FnMut(&mut u64)) {
+            let grants = [&mut s.newest, &mut s.behind];
+            for g in grants.into_iter().chain(&mut s.seen) {
+                f(&mut g.epoch);
+                g.parts.values_mut().for_each(|p| f(&mut p.epoch));
+                g.owed.values_mut().flatten().for_each(|p| f(&mut p.epoch));
+            }
+            s.told.iter_mut().for_each(f);
+        }
+        let mut all = vec![0];
+        each(&mut s, |e| all.push(*e));
+        all.sort_unstable();
+        all.dedup();
+        each(&mut s, |e| {
+            *e = all.iter().position(|a| a == e).unwrap_or(0) as u64;
+        });
         s
     }
 }
 
-fn look(without: Without, off: [i64; 4], (holders, loose): (usize, u64)) -> Seen<Step> {
+/// A model of so many holders.
+fn parts(holders: usize, loose: u64, tell: bool, life: u64, apart: u64) -> Parts {
+    Parts {
+        without: Without::Nothing,
+        off: [0; 4],
+        holders,
+        loose,
+        tell,
+        rules: Rules {
+            whole: 4,
+            life,
+            apart,
+        },
+    }
+}
+
+fn look(without: Without, off: [i64; 4], model: Parts) -> Seen<Step> {
     let model = Parts {
         without,
         off,
-        holders,
-        loose,
+        ..model
     };
     explore(&model, 400_000)
 }
 
-/// Three holders of which nobody uses anything without a grant; or two that do at first.
-const SIZES: [(usize, u64); 2] = [(3, 0), (2, 1)];
-
 #[test]
 fn no_state_has_more_in_use_than_there_is() {
     // Clocks are up to a tick from the true time, either way.
-    for off in [[0, 0, 0, 0], [-1, 1, 0, 1]] {
-        for size in SIZES {
-            let seen = look(Without::Nothing, off, size);
-            assert!(matches!(seen, Seen::All { .. }), "{}", seen.story());
-            println!("{off:?} {size:?}: {}", seen.story());
-        }
+    let all = [
+        ([-1, 1, 0, 1], parts(3, 0, false, 3, 1)),
+        ([-1, 1, 0, 1], parts(2, 0, true, 3, 1)),
+        ([0, 0, 0, 0], parts(2, 1, true, 2, 0)),
+    ];
+    for (off, model) in all {
+        let seen = look(Without::Nothing, off, model);
+        assert!(matches!(seen, Seen::All { .. }), "{}", seen.story());
+        println!("{off:?}: {}", seen.story());
     }
 }
 
 #[test]
 fn each_line_that_is_taken_out_is_missed() {
-    for (without, off) in [
-        (Without::Owed, [0, 0, 0, 0]),
-        (Without::Apart, [-1, 0, 0, 1]),
-        (Without::Fence, [0, 0, 0, 0]),
-        (Without::Loose, [0, 0, 0, 0]),
+    for (without, off, model) in [
+        (Without::Owed, [0, 0, 0, 0], parts(3, 0, false, 3, 1)),
+        (Without::Apart, [-1, 0, 0, 1], parts(3, 0, false, 3, 1)),
+        (Without::Fence, [0, 0, 0, 0], parts(3, 0, false, 3, 1)),
+        (Without::Loose, [0, 0, 0, 0], parts(2, 1, true, 2, 0)),
+        (Without::Told, [0, 0, 0, 0], parts(2, 0, true, 3, 0)),
     ] {
-        let seen = look(without, off, SIZES[usize::from(without == Without::Loose)]);
+        let seen = look(without, off, model);
         assert!(matches!(seen, Seen::Broken { .. }), "{}", seen.story());
         println!("{}", seen.story());
     }
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -4,12 +4,14 @@
 use super::images::Images;
 use crate::protocol::records::{
     BASE, BUNDLED, BUNDLES, Bundle, CHUNK, CHUNKS, Chunk, Entry, FORMATS, JOBS, JobRec, LEAD, LIVE,
-    LeadRec, RENEWALS, RenewRec, Stage, TYPES, bundle_key, bundle_number, renew_key,
+    LeadRec, PARTS, PartsRec, RENEWALS, RenewRec, Stage, TYPES, bundle_key, bundle_number,
+    renew_key,
 };
 use crate::protocol::wire::{ItemPage, MachineType, MachineTypes, WatchAnswer, from_value};
 use crate::protocol::{Kind, Micros, format};
 use rmpv::Value;
 use std::collections::{BTreeMap, BTreeSet};
+use walnuttrestle_admission::parts::Grant;
 
 /// A job that is not over, or whose tasks may still be somewhere.
 #[derive(Debug, Clone)]
@@ -117,6 +119,8 @@
     pub images: Images,
     /// Places of many jobs in one record each; they are laid over `jobs`.
     pub bundles: Bundles,
+    /// Parts of the budget of changes, with the record's version.
+    pub parts: Option<(Grant, u64)>,
     /// Jobs that matter.
     pub jobs: BTreeMap<String, Job>,
     /// What followers renew, by node, with the record's version.
@@ -315,6 +319,12 @@
             {
                 self.formats.insert(node.to_string(), (n, version));
             }
+        } else if key == PARTS {
+            if self.parts.as_ref().is_none_or(|(_, v)| *v < version)
+                && let Some(rec) = from_value::<PartsRec>(&value)
+            {
+                self.parts = Some((rec.grant(), version));
+            }
         } else if key == BUNDLED {
             self.bundles.moved(version);
         } else if key.starts_with(BUNDLES) {
--- /dev/null
+++ b/src/coordination/budget.rs
@@ -0,0 +1,281 @@
+//! The store's budgets, shared by the controllers.
+//!
+//! Each controller has a fixed share; what silent ones leave is used by the others. Half of each share of
+//! changes is lent once anybody asks for more than they have: the leader then gives parts of it by what
+//! the controllers ask for, on record (`wt/parts`, format `PARTS`), so that they never add up to more
+//! than the whole (crates/admission, `parts`). In calm times nothing is written and the shares are as
+//! they were.
+
+use super::node::{Clock, LEADER_SILENT, Node, Tag, cond, put};
+use crate::bookkeeping::store::{Ask, Rank, Reply};
+use crate::protocol::format::PARTS as FORMAT;
+use crate::protocol::records::{LEAD, PARTS, PartsRec};
+use crate::protocol::wire::Txn;
+use crate::protocol::{Micros, Settings};
+use std::collections::BTreeMap;
+use walnuttrestle_admission::parts::{Grant, Milli, Rules, Want};
+
+/// A share of the store's budgets of requests and of changes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Share {
+    requests: f64,
+    changes: f64,
+}
+
+/// All controllers together use this part of the budgets, the leader most of it.
+const ALL: Share = Share {
+    requests: 0.95,
+    changes: 0.98,
+};
+const LEADERS: Share = Share {
+    requests: 0.6,
+    changes: 0.66,
+};
+/// A controller sends at least this part of a second's changes at once.
+const BURST: f64 = 0.33;
+/// What a follower uses at most of what a silent leader leaves: it may be cut off from us alone.
+const LEADERLESS: f64 = 0.5;
+
+impl Share {
+    /// Of a controller that has `siblings`, of which it hears `heard`. What the silent ones leave is
+    /// used by the others; `led`: the leader is among those heard.
+    fn of(siblings: usize, heard: usize, leading: bool, led: bool) -> Share {
+        let part = |all: f64, leaders: f64| {
+            let followers = siblings.max(1) as f64;
+            let each = (all - leaders) / followers;
+            if siblings == 0 {
+                all
+            } else if leading {
+                leaders + each * (siblings - heard) as f64
+            } else if led {
+                each
+            } else {
+                (all / (heard + 1) as f64).min(LEADERLESS)
+            }
+        };
+        Share {
+            requests: part(ALL.requests, LEADERS.requests),
+            changes: part(ALL.changes, LEADERS.changes),
+        }
+    }
+}
+
+/// How long a grant lasts, and how often the next one comes: often enough that two may be lost.
+const LIFE: Micros = Micros::millis(12_000);
+const GIVE_EVERY: Micros = Micros::millis(3_000);
+/// Shares are taken anew at each step, and there is a step each second at least.
+const LATE: Micros = Micros::millis(1_500);
+/// A controller asks for what clears its queue in this many seconds.
+const CLEAR_S: f64 = 1.5;
+
+/// What a controller lends of its share, in thousandths of changes a second.
+fn lent(s: &Settings, leading: bool) -> Milli {
+    let n = s.siblings.len();
+    let share = Share::of(n, n, leading, true);
+    (share.changes * s.params.state.least_write_rps() * 500.0) as Milli
+}
+
+fn rules(s: &Settings) -> Rules {
+    let followers = s.siblings.len() as Milli;
+    Rules {
+        whole: lent(s, true) + followers * lent(s, false),
+        life: LIFE.0,
+        apart: LATE.0 + (s.params.clock_off_ms * 1000.0) as u64,
+    }
+}
+
+/// Our share of the budgets, and what there is to know of the others'.
+#[derive(Debug)]
+pub struct Budget {
+    share: Share,
+    /// Changes a second more than our share, or less.
+    more: f64,
+    asks: Milli,
+    give_at: Micros,
+    giving: bool,
+    /// Newest grant that each sibling has told of. Records outlive them, so they never come to know of
+    /// none, or of an older one.
+    told: BTreeMap<String, u64>,
+}
+
+impl Budget {
+    /// Of a controller that has just started.
+    pub fn new(s: &Settings) -> Budget {
+        let n = s.siblings.len();
+        Budget {
+            share: Share::of(n, n, false, true),
+            more: 0.0,
+            asks: 0,
+            give_at: Micros::ZERO,
+            giving: false,
+            told: BTreeMap::new(),
+        }
+    }
+
+    /// In requests and changes a second, and how many changes may go at once.
+    pub fn rates(&self, s: &Settings) -> (f64, f64, f64) {
+        let state = &s.params.state;
+        let all = state.least_write_rps();
+        let changes = (all * self.share.changes + self.more).max(all * 0.02);
+        // The state service takes a second's worth at once. A follower's part of it need not be as
+        // small as its share: a burst of submissions comes to one controller at a time.
+        let burst = changes.max(all * BURST);
+        (state.least_rps() * self.share.requests, changes, burst)
+    }
+
+    /// What we ask for, in thousandths of changes a second.
+    pub fn asks(&self) -> Milli {
+        self.asks
+    }
+
+    /// A sibling has told of this grant.
+    pub fn told(&mut self, node: &str, epoch: u64) {
+        match self.told.get_mut(node) {
+            Some(e) => *e = (*e).max(epoch),
+            None => _ = self.told.insert(node.to_string(), epoch),
+        }
+    }
+}
+
+impl Node {
+    /// Keeps to our share of the store's budgets, which follows from who is heard.
+    pub(super) fn take_share(&mut self, clock: Clock) {
+        // Nobody has been heard right after a start.
+        let young = clock.now < self.born + LEADER_SILENT;
+        let heard = |node: &str| {
+            let view = self.sibling_view.get(node);
+            young || view.is_some_and(|v| clock.now.since(v.heard) < LEADER_SILENT)
+        };
+        let siblings = &self.settings.siblings;
+        let n = siblings.iter().filter(|x| heard(&x.node)).count();
+        let lead = self.mirror.lead.as_ref();
+        let led = lead.is_none_or(|(l, _)| l.node != self.settings.node && heard(&l.node));
+        let leading = self.leader.is_some();
+        let share = Share::of(siblings.len(), n, leading, led);
+        let part = self.mirror.parts.as_ref().map(|(grant, _)| {
+            let rules = rules(&self.settings);
+            let part = grant.part(&self.settings.node, clock.wall.0, &rules);
+            part as f64 - lent(&self.settings, leading) as f64
+        });
+        let more = part.unwrap_or(0.0) / 1000.0;
+        if (share, more) != (self.budget.share, self.budget.more) {
+            self.budget.share = share;
+            self.budget.more = more;
+            let (rps, wps, burst) = self.budget.rates(&self.settings);
+            self.store.set_rates(clock.now, rps, wps, burst);
+        }
+    }
+
+    /// What we could use beyond what is ours in any case, a second.
+    fn ask(&mut self, clock: Clock) -> Milli {
+        let (edits, _) = self.edits_due(clock.now);
+        let waits = (self.front.waiting() + edits) as f64 / CLEAR_S;
+        let wanted = (waits + self.front.refused_lately(clock.now)) * 1000.0;
+        let leading = self.leader.is_some();
+        let own = lent(&self.settings, leading);
+        (wanted as Milli)
+            .saturating_sub(own)
+            .min(rules(&self.settings).whole)
+    }
+
+    /// Says what we ask for; the leader gives the parts that are due. Returns when to look again.
+    pub(super) fn give_parts(&mut self, clock: Clock) -> Micros {
+        let now = clock.now;
+        if now < self.budget.give_at {
+            return self.budget.give_at;
+        }
+        self.budget.give_at = now + GIVE_EVERY;
+        self.budget.asks = self.ask(clock);
+        let Some(l) = &self.leader else {
+            return self.budget.give_at;
+        };
+        if self.budget.giving || !l.caught_up(&self.mirror) {
+            return self.budget.give_at;
+        }
+        let s = &self.settings;
+        let rules = rules(s);
+        let mut wants = vec![Want {
+            holder: s.node.clone(),
+            amount: self.budget.asks,
+            weight: lent(s, true) as f64,
+            loose: 0,
+            seen: self.mirror.parts.as_ref().map_or(0, |(g, _)| g.epoch),
+        }];
+        let follower = lent(s, false);
+        let mut pressed = self.budget.asks > lent(s, true);
+        for x in &s.siblings {
+            let view = self.sibling_view.get(&x.node);
+            let heard = view.filter(|v| now.since(v.heard) < LEADER_SILENT);
+            let reads = self.mirror.format_of(&x.node).0 >= FORMAT;
+            let told = self.budget.told.get(&x.node).copied().unwrap_or(0);
+            let knows = reads && told > 0;
+            let asks = heard.map_or(0, |v| v.asks);
+            pressed |= asks > follower;
+            // Nobody who is silent gets anything; what they may use without a grant stays theirs.
+            if heard.is_some() || !knows {
+                wants.push(Want {
+                    holder: x.node.clone(),
+                    amount: asks,
+                    weight: if heard.is_some() {
+                        follower as f64
+                    } else {
+                        0.0
+                    },
+                    loose: if knows { 0 } else { follower },
+                    seen: told,
+                });
+            }
+        }
+        let held = self.mirror.parts.as_ref();
+        // The first grant needs everybody to know what it is; it is given when somebody needs it.
+        if held.is_none() && !(pressed && self.all_read(FORMAT)) {
+            return self.budget.give_at;
+        }
+        let blank = Grant::default();
+        if held.is_none() {
+            // Until it is on record we use our share as it is.
+            wants[0].loose = lent(s, true);
+        }
+        let (grant, version) = held.map_or((&blank, 0), |(g, v)| (g, *v));
+        let next = grant.next(clock.wall.0, &wants, &rules);
+        log::debug!("parts, epoch {}: {:?}", next.epoch, next.parts);
+        let txn = Txn {
+            conds: vec![cond(LEAD, l.version), cond(PARTS, version)],
+            changes: vec![put(PARTS, &PartsRec::of(&next), None)],
+        };
+        self.budget.giving = true;
+        self.store.ask(Rank::First, Tag::Parts, Ask::Txn(txn));
+        self.budget.give_at
+    }
+
+    /// A grant came back. Whatever became of it, the next one is made upon what is on record then.
+    pub(super) fn on_parts(&mut self, clock: Clock, ask: Ask, reply: Reply) {
+        self.budget.giving = false;
+        if let (Reply::Committed(rev), Ask::Txn(t)) = (reply, ask) {
+            self.apply_own(&t, rev);
+            self.take_share(clock);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn shares_stay_below_the_limits_when_all_hear_the_same() {
+        for siblings in 0..5 {
+            for heard in 0..=siblings {
+                let leader = Share::of(siblings, heard, true, true);
+                let follower = Share::of(siblings, heard, false, true);
+                let followers = heard as f64;
+                assert!(leader.changes + followers * follower.changes <= ALL.changes + 1e-9);
+                assert!(leader.requests + followers * follower.requests <= ALL.requests + 1e-9);
+                let orphan = Share::of(siblings, heard, false, false);
+                assert!(orphan.changes * (followers + 1.0) <= ALL.changes + 1e-9);
+            }
+        }
+        // One that is left alone uses nearly all there is.
+        assert!(Share::of(2, 0, true, true).changes > 0.97);
+    }
+}
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -87,12 +87,40 @@
     /// Those that rest, by the time of their next try.
     resting: BTreeSet<(Micros, String)>,
     refusals: Refusals,
+    /// Submissions refused in the present second and in the one before.
+    refused: (u64, u32, u32),
     /// Nothing of them is due before this.
     look_at: Micros,
     batches: usize,
     cancelling: BTreeMap<String, Vec<u64>>,
 }
 
+impl Front {
+    /// Acceptances that wait to be written.
+    pub fn waiting(&self) -> usize {
+        self.lanes.len()
+    }
+
+    fn count_refusal(&mut self, now: Micros) {
+        let second = now.0 / 1_000_000;
+        self.refused = match self.refused {
+            (s, n, before) if s == second => (s, n + 1, before),
+            (s, n, _) if s + 1 == second => (second, 1, n),
+            _ => (second, 1, 0),
+        };
+    }
+
+    /// Submissions refused in the last full second.
+    pub fn refused_lately(&self, now: Micros) -> f64 {
+        let second = now.0 / 1_000_000;
+        match self.refused {
+            (s, n, before) if s == second => before.max(n) as f64,
+            (s, n, _) if s + 1 == second => n as f64,
+            _ => 0.0,
+        }
+    }
+}
+
 impl Default for Front {
     fn default() -> Front {
         Front {
@@ -100,6 +128,7 @@
             lanes: Lanes::new(1),
             resting: BTreeSet::new(),
             refusals: Refusals::new(REFUSED_KNOWN),
+            refused: (0, 0, 0),
             look_at: Micros::ZERO,
             batches: 0,
             cancelling: BTreeMap::new(),
@@ -400,6 +429,7 @@
     /// Seconds after which a refused submission had better come again; its first try is remembered.
     fn come_again(&mut self, clock: Clock, id: &str, first: Micros, spec: &Spec) -> u32 {
         let f = &mut self.front;
+        f.count_refusal(clock.now);
         f.refusals.refuse(id, first.0, clock.now.0);
         let ahead = f.lanes.waiting(&spec.team, &spec.class);
         let lanes = f.lanes.sizes().filter(|(_, _, n)| *n > 0).count().max(1);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,6 +1,7 @@
 //! Leadership, the queue, placement, tasks and the fleet.
 
 pub mod backlog;
+pub mod budget;
 pub mod bundling;
 pub mod edits;
 pub mod far;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -1,6 +1,7 @@
 //! One controller: wires the actors together. `handle` takes one message and returns what is to
 //! be done; no I/O, no clock, no global randomness.
 
+use super::budget::Budget;
 use super::front::{Front, Waiter};
 use super::leader::Leader;
 use super::policy::Policy;
@@ -58,6 +59,8 @@
     Edits(u64),
     /// Machine types.
     Types,
+    /// Parts of the budget of changes.
+    Parts,
     /// What we renew on the leader's behalf: these machines.
     Renewals(Vec<String>),
     /// The newest format that we read, or that a sibling no longer reads what it did.
@@ -95,7 +98,7 @@
 /// Heartbeats among controllers.
 const HEARTBEAT_EVERY: Micros = Micros::millis(700);
 /// A leader silent for this long on all links of all siblings is taken for dead.
-const LEADER_SILENT: Micros = Micros::millis(2500);
+pub(super) const LEADER_SILENT: Micros = Micros::millis(2500);
 /// A worker waits 4 s for an answer, and 1 s more before it tries the next controller.
 const VAIN_TRY: Micros = Micros::millis(5000);
 /// Reports come up to a quarter of their interval late.
@@ -114,14 +117,16 @@
 const PROOF_EVERY: Micros = Micros::millis(1000);
 
 /// What a sibling last told.
-struct SiblingView {
-    heard: Micros,
+pub(super) struct SiblingView {
+    pub(super) heard: Micros,
     /// Since when it has been heard without a longer silence.
     since: Micros,
     leader_silent_ms: Option<u64>,
     served: bool,
     /// It has told of a format older than the one on record for it, so it has gone back.
     went_back: Option<u32>,
+    /// What it asks for of the budget of changes.
+    pub(super) asks: u64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -176,13 +181,13 @@
     /// When each sibling was asked that last knew of nothing newer than we do.
     vouched: Vec<Micros>,
     leader_heard: Option<(String, Micros)>,
-    sibling_view: BTreeMap<String, SiblingView>,
+    pub(super) sibling_view: BTreeMap<String, SiblingView>,
     /// Highest term that anybody has shown us; below it we never lead, whatever an old copy says.
     highest: u64,
     /// Our share of the store's budgets.
-    share: Share,
+    pub(super) budget: Budget,
     /// When we started.
-    born: Micros,
+    pub(super) born: Micros,
     /// Version of the record of the lead, and since when we know it.
     lead_seen: (u64, Micros),
     /// When our record of the format we read is looked at again; none: it is being written.
@@ -197,8 +202,8 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let inc = rng.random::<u64>() >> 1;
         let siblings = settings.siblings.len();
-        let share = Share::of(siblings, siblings, false, true);
-        let (rps, wps, burst) = share.rates(&settings);
+        let budget = Budget::new(&settings);
+        let (rps, wps, burst) = budget.rates(&settings);
         let store = Store::new(settings.external.state, rps, wps, burst);
         Node {
             settings,
@@ -232,7 +237,7 @@
             leader_heard: None,
             sibling_view: BTreeMap::new(),
             highest: 0,
-            share,
+            budget,
             born: clock.now,
             lead_seen: (0, clock.now),
             format_at: Some(clock.now),
@@ -608,6 +613,7 @@
                 }
             }
             (Tag::Types, _) => {}
+            (Tag::Parts, reply) => self.on_parts(clock, ask, reply),
             (Tag::Renewals(named), reply) => self.on_renewals(clock, named, ask, sent, reply),
             (Tag::Format, reply) => {
                 self.format_at = Some(clock.now + FORMAT_AGAIN);
@@ -774,26 +780,6 @@
         self.on_changed_jobs();
     }
 
-    /// Keeps to our share of the store's budgets, which follows from who is heard.
-    fn take_share(&mut self, clock: Clock) {
-        // Nobody has been heard right after a start.
-        let young = clock.now < self.born + LEADER_SILENT;
-        let heard = |node: &str| {
-            let view = self.sibling_view.get(node);
-            young || view.is_some_and(|v| clock.now.since(v.heard) < LEADER_SILENT)
-        };
-        let siblings = &self.settings.siblings;
-        let n = siblings.iter().filter(|x| heard(&x.node)).count();
-        let lead = self.mirror.lead.as_ref();
-        let led = lead.is_none_or(|(l, _)| l.node != self.settings.node && heard(&l.node));
-        let share = Share::of(siblings.len(), n, self.leader.is_some(), led);
-        if share != self.share {
-            self.share = share;
-            let (rps, wps, burst) = share.rates(&self.settings);
-            self.store.set_rates(clock.now, rps, wps, burst);
-        }
-    }
-
     fn stand_down(&mut self, why: &str) {
         if let Some(l) = self.leader.take() {
             log::info!("standing down from term {}: {why}", l.term);
@@ -832,6 +818,7 @@
             }
         }
         self.take_share(clock);
+        next = next.min(self.give_parts(clock));
         next = next.min(self.formats(clock));
         next = next.min(self.heartbeats(clock));
         next = next.min(self.candidacy(clock));
@@ -916,6 +903,8 @@
             newest: self.mirror.synced.then_some(self.mirror.newest),
             served: self.served(),
             format: format::NEWEST,
+            asks: self.budget.asks(),
+            epoch: self.mirror.parts.as_ref().map_or(0, |(g, _)| g.epoch),
         }
     }
 
@@ -968,7 +957,11 @@
             leader_silent_ms: h.leader_silent_ms,
             served: h.served,
             went_back: Some(h.format).filter(|f| *f < self.mirror.format_of(&h.node).0),
+            asks: h.asks,
         };
+        if h.epoch > 0 {
+            self.budget.told(&h.node, h.epoch);
+        }
         self.sibling_view.insert(h.node, view);
     }
 
@@ -1167,62 +1160,6 @@
     }
 }
 
-/// A share of the store's budgets of requests and of changes.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct Share {
-    requests: f64,
-    changes: f64,
-}
-
-/// All controllers together use this part of the budgets, the leader most of it.
-const ALL: Share = Share {
-    requests: 0.95,
-    changes: 0.98,
-};
-const LEADERS: Share = Share {
-    requests: 0.6,
-    changes: 0.66,
-};
-/// A controller sends at least this part of a second's changes at once.
-const BURST: f64 = 0.33;
-/// What a follower uses at most of what a silent leader leaves: it may be cut off from us alone.
-const LEADERLESS: f64 = 0.5;
-
-impl Share {
-    /// Of a controller that has `siblings`, of which it hears `heard`. What the silent ones leave is
-    /// used by the others; `led`: the leader is among those heard.
-    fn of(siblings: usize, heard: usize, leading: bool, led: bool) -> Share {
-        let part = |all: f64, leaders: f64| {
-            let followers = siblings.max(1) as f64;
-            let each = (all - leaders) / followers;
-            if siblings == 0 {
-                all
-            } else if leading {
-                leaders + each * (siblings - heard) as f64
-            } else if led {
-                each
-            } else {
-                (all / (heard + 1) as f64).min(LEADERLESS)
-            }
-        };
-        Share {
-            requests: part(ALL.requests, LEADERS.requests),
-            changes: part(ALL.changes, LEADERS.changes),
-        }
-    }
-
-    /// In requests and changes a second, and how many changes may go at once.
-    fn rates(&self, s: &Settings) -> (f64, f64, f64) {
-        let state = &s.params.state;
-        let all = state.least_write_rps();
-        let changes = all * self.changes;
-        // The state service takes a second's worth at once. A follower's part of it need not be as
-        // small as its share: a burst of submissions comes to one controller at a time.
-        let burst = changes.max(all * BURST);
-        (state.least_rps() * self.requests, changes, burst)
-    }
-}
-
 /// A condition on a key's version.
 pub fn cond(key: &str, version: u64) -> Cond {
     Cond {
@@ -1239,25 +1176,3 @@
         lease,
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn shares_stay_below_the_limits_when_all_hear_the_same() {
-        for siblings in 0..5 {
-            for heard in 0..=siblings {
-                let leader = Share::of(siblings, heard, true, true);
-                let follower = Share::of(siblings, heard, false, true);
-                let followers = heard as f64;
-                assert!(leader.changes + followers * follower.changes <= ALL.changes + 1e-9);
-                assert!(leader.requests + followers * follower.requests <= ALL.requests + 1e-9);
-                let orphan = Share::of(siblings, heard, false, false);
-                assert!(orphan.changes * (followers + 1.0) <= ALL.changes + 1e-9);
-            }
-        }
-        // One that is left alone uses nearly all there is.
-        assert!(Share::of(2, 0, true, true).changes > 0.97);
-    }
-}
--- a/src/protocol/format.rs
+++ b/src/protocol/format.rs
@@ -14,5 +14,8 @@
 /// Places of many jobs may be in one record (`records::Bundle`). A controller that does not read it would
 /// take tasks for lost that run.
 pub const BUNDLES: u32 = 3;
+/// Parts of the budget of changes are on record (`records::PartsRec`). A controller that does not read it
+/// keeps to its fixed share, which is then left to it.
+pub const PARTS: u32 = 4;
 /// The newest format that this version reads.
-pub const NEWEST: u32 = BUNDLES;
+pub const NEWEST: u32 = PARTS;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -21,19 +21,30 @@
     /// version neither sends it nor looks at what comes after the fields it knows.
     #[serde(skip)]
     pub format: u32,
+    /// What the sender asks for of the budget of changes, in thousandths of changes a second; after the
+    /// format, as format `PARTS` has it.
+    #[serde(skip)]
+    pub asks: u64,
+    /// Number of the newest grant of parts that it has seen; 0: none.
+    #[serde(skip)]
+    pub epoch: u64,
 }
 
 impl Heartbeat {
     /// As bytes.
     pub fn encode(&self) -> Vec<u8> {
         let known = postcard::to_stdvec(self).unwrap_or_default();
-        postcard::to_extend(&self.format, known).unwrap_or_default()
+        postcard::to_extend(&(self.format, self.asks, self.epoch), known).unwrap_or_default()
     }
 
     /// From bytes.
     pub fn decode(b: &[u8]) -> Option<Heartbeat> {
         let (mut beat, rest) = postcard::take_from_bytes::<Heartbeat>(b).ok()?;
-        beat.format = postcard::from_bytes(rest).unwrap_or(format::FIRST);
+        let (format, rest) = postcard::take_from_bytes(rest).unwrap_or((format::FIRST, rest));
+        beat.format = format;
+        if format >= format::PARTS {
+            (beat.asks, beat.epoch) = postcard::from_bytes(rest).unwrap_or_default();
+        }
         Some(beat)
     }
 }
--- a/src/protocol/records.rs
+++ b/src/protocol/records.rs
@@ -3,6 +3,7 @@
 use super::wire::json_len;
 use super::{Micros, Spec};
 use serde::{Deserialize, Serialize};
+use walnuttrestle_admission::parts::{Grant, Part};
 
 /// Everything of ours is below this.
 pub const ROOT: &str = "wt/";
@@ -27,6 +28,54 @@
 
 /// Places of many jobs in one record each (format `BUNDLES`). A listing brings them before the jobs.
 pub const BUNDLES: &str = "wt/b/";
+/// Parts of the budget of changes (format `PARTS`).
+pub const PARTS: &str = "wt/parts";
+
+/// A part on record: amount in thousandths of changes a second, the time of day of its end, its epoch.
+type PartRec = (u64, Micros, u64);
+
+/// Parts of the budget of changes that controllers may use (`walnuttrestle_admission::parts`).
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PartsRec {
+    #[serde(rename = "e")]
+    epoch: u64,
+    #[serde(rename = "p")]
+    parts: Vec<(String, PartRec)>,
+    #[serde(rename = "o")]
+    owed: Vec<(String, Vec<PartRec>)>,
+}
+
+impl PartsRec {
+    /// Of a grant.
+    pub fn of(g: &Grant) -> PartsRec {
+        let rec = |p: &Part| (p.amount, Micros(p.until), p.epoch);
+        let parts = g.parts.iter().map(|(h, p)| (h.clone(), rec(p)));
+        let owed = g.owed.iter();
+        let owed = owed.map(|(h, l)| (h.clone(), l.iter().map(rec).collect()));
+        PartsRec {
+            epoch: g.epoch,
+            parts: parts.collect(),
+            owed: owed.collect(),
+        }
+    }
+
+    /// The grant.
+    pub fn grant(self) -> Grant {
+        let part = |(amount, until, epoch): PartRec| Part {
+            amount,
+            until: until.0,
+            epoch,
+        };
+        let owed = self.owed.into_iter();
+        let owed = owed.map(|(h, l)| (h, l.into_iter().map(part).collect()));
+        Grant {
+            epoch: self.epoch,
+            parts: self.parts.into_iter().map(|(h, p)| (h, part(p))).collect(),
+            owed: owed.collect(),
+        }
+    }
+}
+
 /// Changes with every bundle that is written.
 pub const BUNDLED: &str = "wt/bundled";
 
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -250,3 +250,75 @@
     // Nothing can be durable while nobody leads or the store is out of reach.
     assert!(late <= 3 && took.iter().all(|s| *s < 15.0), "{took:?}");
 }
+
+/// What the controllers take of the store's changes in all, a second.
+fn taken(w: &World) -> f64 {
+    let nodes = (0..w.nodes()).filter_map(|i| w.node(i));
+    nodes.map(|n| n.store.write_rate()).sum()
+}
+
+/// A load balancer may send everybody to one controller, which has a sixth of the budget. Told of what it
+/// is asked for, the leader gives it what the others do not need; at no moment is more given than there is.
+#[test]
+fn all_users_come_to_one_follower() {
+    let mut w = World::with_budget(21, 3, MACHINES, 30.0);
+    w.no_capacity = true;
+    w.run(6);
+    let leader = w.leader().expect("a leader");
+    let one = (0..3).find(|i| *i != leader).expect("a follower");
+    let before = w.node(one).map_or(0.0, |n| n.store.write_rate());
+    for n in 0..2_000 {
+        w.declare(&id(n), job(Kind::Array, 1, 1.0), SEC);
+        for again in 0..3u64 {
+            let at = n as u64 * SEC / 60 + again * 9 * SEC;
+            w.after(at, move |w| {
+                if !w.jobs[&id(n)].accepted {
+                    w.submit_once(one, &id(n));
+                }
+            });
+        }
+    }
+    let mut most: f64 = 0.0;
+    for _ in 0..300 {
+        w.step_for(SEC / 10);
+        most = most.max(taken(&w));
+    }
+    let after = w.node(one).map_or(0.0, |n| n.store.write_rate());
+    assert!(after > 1.6 * before, "{before} to {after}");
+    assert!(most <= 30.0, "{most} changes a second given of 30");
+    // Nobody asks any more: it goes back.
+    w.run(75);
+    let calm = w.node(one).map_or(0.0, |n| n.store.write_rate());
+    assert!(calm < 1.3 * before, "{calm}");
+}
+
+/// Grants end by themselves; a new leader gives on from what is on record, and a controller of an older
+/// version keeps its fixed part.
+#[test]
+fn parts_hold_while_leaders_change_and_an_old_version_comes_back() {
+    let mut w = World::with_budget(22, 3, MACHINES, 30.0);
+    w.no_capacity = true;
+    w.run(6);
+    for n in 0..1_500 {
+        let at = n as u64 * SEC / 30;
+        w.after(at, move |w| w.user(&id(n), job(Kind::Array, 1, 1.0), SEC));
+    }
+    w.run(8);
+    let epoch = |w: &World| {
+        let i = w.leader().expect("a leader");
+        let parts = w.node(i).and_then(|n| n.mirror.parts.as_ref());
+        parts.map_or(0, |(g, _)| g.epoch)
+    };
+    assert!(epoch(&w) > 0, "somebody asked for more");
+    let mut last = epoch(&w);
+    for round in 0..4 {
+        let i = w.leader().expect("a leader");
+        w.set_old((i + 1) % 3, round == 1);
+        w.crash((i + round) % 3, 3 * SEC);
+        // Silent ones leave what they have to the others; all three are there again by the end.
+        w.run(12);
+        assert!(taken(&w) <= 30.0, "round {round}: {}", taken(&w));
+        assert!(epoch(&w) >= last, "{} after {last}", epoch(&w));
+        last = epoch(&w);
+    }
+}
