--- a/src/coordination/far.rs
+++ b/src/coordination/far.rs
@@ -11,6 +11,10 @@
 /// given room at the cost of other teams' surplus gangs, too.
 const OVERDUE: Micros = Micros::millis(60_000);
 
+/// A gang that has waited this long does not wait for others to end any more: about as long as a place
+/// takes to become free by itself where tasks are short.
+const AGED: Micros = Micros::millis(20_000);
+
 /// What a pass has to know of any job besides its record.
 pub struct Scene<'a> {
     /// The queue.
@@ -39,6 +43,11 @@
         self.wall.since(row.released) > OVERDUE
     }
 
+    /// Whether a gang has waited for long enough to take the place of what cannot save.
+    pub fn aged(&self, row: &Row) -> bool {
+        self.wall.since(row.released) > AGED
+    }
+
     /// An item for a job with these tasks to start; where its others are is to be filled in.
     pub fn item(&self, id: &'a str, job: &'a Job, row: &Row, tasks: Vec<u32>) -> Item<'a> {
         let spec = &job.rec.spec;
@@ -57,6 +66,7 @@
             priority: self.lifted.of(id, job),
             guaranteed: self.guaranteed(row),
             overdue: self.overdue(row),
+            aged: self.aged(row),
         }
     }
 }
@@ -138,6 +148,12 @@
         row.is_some_and(|r| self.scene.overdue(r))
     }
 
+    /// Whether a gang has waited for long enough to take the place of what cannot save.
+    pub fn aged(&self, b: &Brief) -> bool {
+        let row = self.scene.backlog.row(b.slot);
+        row.is_some_and(|r| self.scene.aged(r))
+    }
+
     /// The highest priority of a job and of those that need it.
     pub fn priority(&self, form: &Form, id: &str) -> Priority {
         self.scene.lifted.over(id, form.priority)
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -45,6 +45,8 @@
     pub guaranteed: bool,
     /// Has waited so long that even gangs beyond another team's guarantee give way.
     pub overdue: bool,
+    /// Has waited so long that a gang takes the place of what cannot save.
+    pub aged: bool,
 }
 
 /// A running task that may have to make room.
@@ -185,6 +187,7 @@
     team: u32,
     guaranteed: bool,
     overdue: bool,
+    aged: bool,
     top: bool,
 }
 
@@ -195,7 +198,8 @@
             priority: item.priority,
             team: item.team,
             guaranteed: item.guaranteed,
-            overdue: item.overdue,
+            overdue: item.guaranteed && item.overdue,
+            aged: item.aged && item.spec.kind == Kind::Gang,
             top,
         }
     }
@@ -215,7 +219,7 @@
         // Under a flood of single tasks whole machines are never free by themselves: backfilled tasks of
         // the next in line take each place as it comes. A gang that has waited for long need not mind
         // whether what stops can save.
-        let aged = gang && self.overdue && v.single && !v.spared && v.priority < self.priority;
+        let aged = self.aged && v.single && !v.spared && v.priority < self.priority;
         (self.top && gang && v.backfilled) || lower || owed || aged
     }
 }
@@ -438,7 +442,8 @@
                     priority: self.far.priority(form, at.1),
                     team: form.team,
                     guaranteed,
-                    overdue: self.far.overdue(brief),
+                    overdue: guaranteed && self.far.overdue(brief),
+                    aged: form.kind == Kind::Gang && self.far.aged(brief),
                     top,
                 };
                 if self.hopeless.contains(&claim) {
@@ -726,6 +731,7 @@
             priority: spec.priority,
             guaranteed: false,
             overdue: false,
+            aged: false,
         }
     }
 
@@ -814,8 +820,8 @@
             saves: false,
             ..victim(Priority::Normal)
         };
-        let waits = |overdue| Item {
-            overdue,
+        let waits = |aged| Item {
+            aged,
             ..item(&gang, 1.0)
         };
         let stops =
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -25,6 +25,7 @@
 
 const PLACES: usize = 128;
 const OVERDUE: Micros = Micros::millis(60_000);
+const AGED: Micros = Micros::millis(20_000);
 
 /// What a pass decides, in the words of `pass::Decision`.
 #[derive(Debug, Default)]
@@ -396,6 +397,7 @@
         priority,
         guaranteed,
         overdue: clock.wall.since(job.released) > OVERDUE,
+        aged: clock.wall.since(job.released) > AGED,
     })
 }
 
@@ -697,7 +699,7 @@
         // lose little; by gangs, which stop as a whole, when nothing else has helped.
         let surplus = v.surplus && v.team != item.team && (v.single || item.overdue);
         let owed = item.guaranteed && surplus;
-        let aged = gang && item.overdue && v.single && !v.spared && v.priority < item.priority;
+        let aged = gang && item.aged && v.single && !v.spared && v.priority < item.priority;
         hosts[v.host].reserved.is_none()
             && plan.reserved.iter().all(|(h, _)| *h != v.host)
             && ((top && gang && v.backfilled) || lower || owed || aged)
