--- a/crates/admission/src/fair.rs
+++ b/crates/admission/src/fair.rs
@@ -33,17 +33,6 @@
     a.weight.max(1e-9)
 }
 
-/// Jain's index of fairness: 1 when all get the same, 1/n when one gets everything.
-pub fn jain(amounts: &[f64]) -> f64 {
-    let sum: f64 = amounts.iter().sum();
-    let squares: f64 = amounts.iter().map(|a| a * a).sum();
-    if squares > 0.0 {
-        sum * sum / (amounts.len() as f64 * squares)
-    } else {
-        1.0
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -77,10 +66,4 @@
             }
         }
     }
-
-    #[test]
-    fn jain_tells_even_from_uneven() {
-        assert!((jain(&[2.0, 2.0, 2.0]) - 1.0).abs() < 1e-9);
-        assert!((jain(&[6.0, 0.0, 0.0]) - 1.0 / 3.0).abs() < 1e-9);
-    }
 }
--- a/crates/admission/src/parts.rs
+++ b/crates/admission/src/parts.rs
@@ -74,14 +74,6 @@
         open.map_or(0, |p| p.amount)
     }
 
-    /// What a holder may be using at this time of day by the giver's clock, whichever grant it has seen.
-    pub fn bound(&self, holder: &str, wall: Micros, rules: &Rules) -> Milli {
-        let all = self.parts.get(holder).into_iter();
-        let all = all.chain(self.owed.get(holder).into_iter().flatten());
-        let open = all.filter(|p| wall < p.until + rules.apart);
-        open.map(|p| p.amount).max().unwrap_or(0)
-    }
-
     /// The next grant, given at this time of day. Whoever may still be using more than they get keeps
     /// the others waiting for the rest.
     pub fn next(&self, wall: Micros, wants: &[Want], rules: &Rules) -> Grant {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -562,43 +562,53 @@
     }
 }
 
-/// What to rent for what lacks room, unless we are too new to know, and what to return. `hosts`: as they
-/// are after this pass.
-#[allow(clippy::too_many_arguments)]
+/// What planning looks at.
+#[derive(Clone, Copy)]
+pub struct Sight<'a> {
+    /// The leader.
+    pub leader: &'a Leader,
+    /// The records.
+    pub mirror: &'a Mirror,
+    /// Settings.
+    pub settings: &'a Settings,
+    /// Operators' settings.
+    pub policy: &'a Policy,
+    /// Now.
+    pub clock: Clock,
+    /// The machines.
+    pub hosts: &'a Hosts<'a>,
+    /// The same as they are after this pass.
+    pub rooms: &'a [Host],
+    /// Long enough in the lead to know who is there.
+    pub learnt: bool,
+}
+
+/// What to rent for what lacks room, unless we are too new to know, and what to return.
 pub fn plan<'a>(
-    l: &Leader,
-    mirror: &Mirror,
-    settings: &Settings,
-    policy: &Policy,
-    clock: Clock,
-    hosts: &Hosts<'_>,
-    rooms: &[Host],
+    sight: &Sight<'_>,
     names: &Names,
     wants: &impl Wants<'a>,
     lacks: &[Lack<'_>],
-    learnt: bool,
 ) -> FleetPlan {
-    let now = clock.now;
+    let Sight {
+        leader: l,
+        mirror,
+        policy,
+        hosts,
+        rooms,
+        ..
+    } = *sight;
+    let now = sight.clock.now;
     let f = &l.fleet;
     let lacking = !lacks.is_empty();
-    let silent_zones = silent_zones(l, settings, now);
+    let silent_zones = silent_zones(l, sight.settings, now);
     let mut plan = FleetPlan {
-        leave: give_up(
-            l,
-            mirror,
-            settings,
-            policy,
-            clock,
-            hosts,
-            rooms,
-            &silent_zones,
-            lacking,
-        ),
+        leave: give_up(sight, &silent_zones, lacking),
         // Nothing is rented before it is on record what was there without us.
         ready: f.listed_once && mirror.base.is_some(),
         ..FleetPlan::default()
     };
-    if !plan.ready || !lacking || !learnt {
+    if !plan.ready || !lacking || !sight.learnt {
         return plan;
     }
     let types: &[MachineType] = mirror.types.as_deref().unwrap_or_default();
@@ -720,18 +730,21 @@
 }
 
 /// Machines to be returned, and why.
-#[allow(clippy::too_many_arguments)]
 fn give_up(
-    l: &Leader,
-    mirror: &Mirror,
-    settings: &Settings,
-    policy: &Policy,
-    clock: Clock,
-    hosts: &Hosts<'_>,
-    rooms: &[Host],
+    sight: &Sight<'_>,
     silent_zones: &BTreeSet<String>,
     lacking: bool,
 ) -> Vec<(String, &'static str)> {
+    let Sight {
+        leader: l,
+        mirror,
+        settings,
+        policy,
+        clock,
+        hosts,
+        rooms,
+        ..
+    } = *sight;
     let now = clock.now;
     let types: &[MachineType] = mirror.types.as_deref().unwrap_or_default();
     let lag = Micros::secs(settings.params.cloud.list_lag_s * 3.0);
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -51,7 +51,7 @@
     pub stops: Vec<(String, u32)>,
     /// Machines on which room is being made, and for which job.
     pub reserved: Vec<(String, String)>,
-    /// What found no room: job and tasks. Named only where somebody reads it.
+    /// How many jobs found no room.
     pub lacks: usize,
     /// The largest demand seen.
     pub b_max: f64,
@@ -216,19 +216,17 @@
         let named = all.filter_map(|l| Some((wants.job(l.of)?.0.clone(), l.tasks)));
         told.extend(named);
     }
-    let fleet = fleet::plan(
-        l,
+    let sight = fleet::Sight {
+        leader: l,
         mirror,
         settings,
         policy,
         clock,
-        &hosts,
-        &rooms,
-        &scene.backlog.names,
-        &wants,
-        &plan.lacks,
+        hosts: &hosts,
+        rooms: &rooms,
         learnt,
-    );
+    };
+    let fleet = fleet::plan(&sight, &scene.backlog.names, &wants, &plan.lacks);
     let start = |p: queue::Place| Start {
         machine: hosts.names[p.host].to_string(),
         session: rooms[p.host].session,
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -529,7 +529,7 @@
                 if let Some(v) = in_the_way(item, self.rooms, &self.savers, fits) {
                     self.plan.stops.push((v.job.to_string(), v.task));
                     self.plan.reserved.push((v.host, item.id.to_string()));
-                    self.rooms.reserve(v.host, Some(item.id));
+                    self.rooms.reserve(v.host, item.id);
                     zones.push(self.rooms[v.host].zone);
                     picker.back(self.rooms, host);
                     continue;
--- a/src/coordination/rooms.rs
+++ b/src/coordination/rooms.rs
@@ -151,15 +151,9 @@
         self.hosts[h].gets(image);
     }
 
-    /// The machine takes nothing new.
-    pub fn close(&mut self, h: usize) {
-        self.hosts[h].open = false;
-        self.seat(h);
-    }
-
-    /// Room is made on the machine for this job, or no longer.
-    pub fn reserve(&mut self, h: usize, job: Option<&str>) {
-        self.hosts[h].reserved = job.map(Into::into);
+    /// Room is made on the machine for this job.
+    pub fn reserve(&mut self, h: usize, job: &str) {
+        self.hosts[h].reserved = Some(job.into());
     }
 
     /// Machines with at least this much room, as far as levels tell.
@@ -311,8 +305,8 @@
                 }
                 if rng.random_bool(0.1) {
                     let h = rng.random_range(0..plain.len());
-                    plain[h].open = false;
-                    rooms.close(h);
+                    plain[h].reserved = Some("req-9".into());
+                    rooms.reserve(h, "req-9");
                 }
             }
         }
--- a/tests/passes.rs
+++ b/tests/passes.rs
@@ -20,35 +20,7 @@
 };
 use walnuttrestle::protocol::{Kind, Micros, Priority, Settings, Spec};
 
-const SETTINGS: &str = r#"
-member="kernel-0"
-zone="a"
-serve_on="127.0.0.1:1"
-internal_addr="127.0.0.1:2"
-[external]
-cloud="127.0.0.1:3"
-state="127.0.0.1:4"
-[params]
-zones=["a","b"]
-[params.workers]
-report_s=5.0
-lease_s=26.5
-gang_wait_s=45.0
-gang_peer_s=5.0
-cancel_s=46.5
-[params.state]
-rps=250.0
-write_rps=60.0
-value_kb=4.0
-txn_ops=8
-[params.cloud]
-rps=12.0
-list_lag_s=8.0
-[params.limits]
-core_share=0.4
-mem_mb=208.0
-sockets=3744
-"#;
+const SETTINGS: &str = include_str!("../examples/settings.toml");
 
 /// A leader's state that changes at random, with what it keeps from pass to pass.
 struct Chaos {
@@ -87,6 +59,7 @@
     fn new(seed: u64) -> Chaos {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut settings = Settings::parse("passes.toml", SETTINGS).expect("settings");
+        settings.params.teams.clear();
         let unlimited = rng.random_bool(0.5);
         for name in ["red", "blue"] {
             let limit = |rng: &mut ChaCha8Rng| rng.random_range(10..80) as f64;
