--- a/src/coordination/edits.rs
+++ b/src/coordination/edits.rs
@@ -45,6 +45,10 @@
     /// Jobs in batches, with the places on their way. A job is in one batch at a time.
     flying: BTreeMap<String, Vec<Entry>>,
     next_batch: u64,
+    /// Something has changed since it was last counted what is due, or something was.
+    stirred: bool,
+    /// Else nothing is before this.
+    due_at: Micros,
     /// The state service has rejected larger transactions than this.
     most: Option<usize>,
     /// It has rejected a bundle.
@@ -80,6 +84,7 @@
 impl Edits {
     /// The change wanted of a job, to be added to.
     pub fn want(&mut self, id: &str, now: Micros) -> &mut Edit {
+        self.stirred = true;
         if !self.wanted.contains_key(id) {
             let edit = Edit {
                 since: now,
@@ -193,6 +198,7 @@
         for id in b.jobs {
             self.flying.remove(&id);
         }
+        self.stirred = true;
         true
     }
 }
@@ -203,11 +209,14 @@
         let Some(l) = &mut self.leader else {
             return (0, Micros::FAR);
         };
-        let jobs = &self.mirror.jobs;
-        l.edits.wanted.retain(|id, _| jobs.contains_key(id));
         if l.edits.batches.len() >= BATCHES || !l.caught_up(&self.mirror) {
             return (0, Micros::FAR);
         }
+        if !l.edits.stirred && now < l.edits.due_at {
+            return (0, l.edits.due_at);
+        }
+        let jobs = &self.mirror.jobs;
+        l.edits.wanted.retain(|id, _| jobs.contains_key(id));
         let mut due = 0;
         let mut next = Micros::FAR;
         for (id, e) in &l.edits.wanted {
@@ -223,6 +232,8 @@
                 }
             }
         }
+        l.edits.stirred = due > 0;
+        l.edits.due_at = next;
         (due, next)
     }
 
