--- a/crates/admission/src/parts.rs
+++ b/crates/admission/src/parts.rs
@@ -59,9 +59,6 @@
     pub amount: Milli,
     /// What it counts.
     pub weight: f64,
-    /// What it may use without any grant, for all we know: it has not told that it has seen one since
-    /// grants began.
-    pub loose: Milli,
     /// Number of the newest grant that it has told of: it uses no older one any more.
     pub seen: u64,
 }
@@ -74,21 +71,31 @@
         open.map_or(0, |p| p.amount)
     }
 
+    /// What all holders together may be using at this time of day by the giver's clock, whichever grants
+    /// they have seen. `seen`: the newest that each has told of. The rest of the whole is the giver's.
+    pub fn lent(&self, wall: Micros, rules: &Rules, seen: impl Fn(&str) -> u64) -> Milli {
+        let mut holders: Vec<&String> = self.parts.keys().chain(self.owed.keys()).collect();
+        holders.sort();
+        holders.dedup();
+        let bound = |h: &String| {
+            let open = self.open(h, seen(h), wall, rules).into_iter();
+            open.map(|p| p.amount).max().unwrap_or(0)
+        };
+        holders.into_iter().map(bound).sum()
+    }
+
     /// The next grant, given at this time of day. Whoever may still be using more than they get keeps
     /// the others waiting for the rest.
-    pub fn next(&self, wall: Micros, wants: &[Want], rules: &Rules) -> Grant {
+    /// What the giver could use itself, `own`, counts like what others want; it is not granted, since
+    /// what is not lent is the giver's.
+    pub fn next(&self, wall: Micros, own: Asked, wants: &[Want], rules: &Rules) -> Grant {
         let asked = wants.iter().map(|w| Asked {
             amount: w.amount as f64,
             weight: w.weight,
         });
-        let asked: Vec<Asked> = asked.collect();
+        let asked: Vec<Asked> = asked.chain([own]).collect();
         let fair = shares(rules.whole as f64, &asked);
-        // What nobody asks for goes to all, by weight: they may ask in a moment.
-        let left = (rules.whole as f64 - fair.iter().sum::<f64>()).max(0.0);
-        let weights: f64 = wants.iter().map(|w| w.weight).sum();
-        let even = |w: &Want| left * w.weight / weights.max(1e-9);
-        let fair = fair.into_iter().zip(wants).map(|(f, w)| f + even(w));
-        let fair: Vec<Milli> = fair.map(|f| f as Milli).collect();
+        let fair: Vec<Milli> = fair.into_iter().map(|f| f as Milli).collect();
         let mut owed: BTreeMap<String, Vec<Part>> = BTreeMap::new();
         let holders = self.parts.keys().chain(self.owed.keys());
         for h in holders {
@@ -98,19 +105,11 @@
                 owed.insert(h.clone(), self.open(h, seen, wall, rules));
             }
         }
-        let loose = |h: &String| {
-            let want = wants.iter().find(|w| w.holder == *h);
-            want.map_or(0, |w| w.loose)
-        };
         let bound = |h: &String| {
             let parts = owed.get(h).into_iter().flatten();
-            parts.map(|p| p.amount).max().unwrap_or(0).max(loose(h))
+            parts.map(|p| p.amount).max().unwrap_or(0)
         };
-        let more = wants.iter().map(|w| &w.holder);
-        let mut holders: Vec<&String> = owed.keys().chain(more).collect();
-        holders.sort();
-        holders.dedup();
-        let used: Milli = holders.into_iter().map(bound).sum();
+        let used: Milli = owed.keys().map(bound).sum();
         let free = rules.whole.saturating_sub(used);
         // What anybody is to have beyond what it may be using already comes out of what is free.
         let more: Vec<Milli> = (wants.iter().zip(&fair))
@@ -120,7 +119,7 @@
         let until = wall + rules.life;
         let mut parts = BTreeMap::new();
         for ((w, fair), more) in wants.iter().zip(&fair).zip(&more) {
-            let held = (*fair).max(w.loose).min(bound(&w.holder));
+            let held = (*fair).min(bound(&w.holder));
             let extra = if all <= free {
                 *more
             } else {
@@ -173,12 +172,16 @@
         apart: 50_000,
     };
 
+    const NOBODY: Asked = Asked {
+        amount: 0.0,
+        weight: 1.0,
+    };
+
     fn want(holder: &str, amount: Milli) -> Want {
         Want {
             holder: holder.into(),
             amount,
             weight: 1.0,
-            loose: 0,
             seen: 0,
         }
     }
@@ -187,18 +190,19 @@
     fn what_one_does_not_want_goes_to_the_others_once_it_cannot_be_in_use_any_more() {
         let a = Grant::default().next(
             0,
+            NOBODY,
             &[want("a", 80_000), want("b", 80_000), want("c", 0)],
             &RULES,
         );
         assert_eq!(a.part("a", 1, &RULES), 45_000);
         let wants = [want("a", 0), want("b", 80_000), want("c", 80_000)];
-        let b = a.next(1_000_000, &wants, &RULES);
+        let b = a.next(1_000_000, NOBODY, &wants, &RULES);
         // What a may still be using is nobody's.
         assert_eq!(b.part("b", 1_000_001, &RULES), 45_000);
         assert_eq!(b.part("c", 1_000_001, &RULES), 0);
-        let c = b.next(10_000_001, &wants, &RULES);
+        let c = b.next(10_000_001, NOBODY, &wants, &RULES);
         assert_eq!(c.part("c", 10_000_002, &RULES), 0, "clocks may be apart");
-        let d = c.next(11_100_000, &wants, &RULES);
+        let d = c.next(11_100_000, NOBODY, &wants, &RULES);
         assert_eq!(d.part("c", 11_100_001, &RULES), 45_000);
         // A holder that tells that it has seen a newer grant frees what the older one allowed.
         let told = Want {
@@ -206,7 +210,7 @@
             ..want("a", 0)
         };
         let wants = [told, want("b", 80_000), want("c", 80_000)];
-        let e = b.next(2_000_000, &wants, &RULES);
+        let e = b.next(2_000_000, NOBODY, &wants, &RULES);
         assert_eq!(e.part("c", 2_000_001, &RULES), 45_000);
         // A holder that hears nothing stops by itself.
         assert_eq!(d.part("c", 21_050_000, &RULES), 0);
@@ -233,7 +237,7 @@
                         let some = rng.random_range(1..5);
                         let wants = holders.iter().take(some);
                         let wants: Vec<Want> = wants.map(|h| want(h, amount(&mut rng))).collect();
-                        newest = newest.next(wall(now, 4), &wants, &RULES);
+                        newest = newest.next(wall(now, 4), NOBODY, &wants, &RULES);
                     }
                     1 => seen[rng.random_range(0..4)] = newest.clone(),
                     _ => {}
--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -1,10 +1,10 @@
 //! The store's budgets, shared by the controllers.
 //!
-//! Each controller has a fixed share; what silent ones leave is used by the others. Half of each share of
-//! changes is lent once anybody asks for more than they have: the leader then gives parts of it by what
-//! the controllers ask for, on record (`wt/parts`, format `PARTS`), so that they never add up to more
-//! than the whole (crates/admission, `parts`). In calm times nothing is written and the shares are as
-//! they were.
+//! Each controller has a fixed share; what silent ones leave is used by the others. Half of the leader's
+//! share of changes is lent once a follower asks for more than its own: the leader gives parts of it by
+//! what all ask for, on record (`wt/parts`, format `PARTS`), so that they never add up to more than the
+//! whole (crates/admission, `parts`). What is not lent the leader uses itself. Grants end by themselves;
+//! in calm times nothing is written, and the shares are as they were.
 
 use super::node::{Clock, LEADER_SILENT, Node, Tag, cond, put};
 use crate::bookkeeping::store::{Ask, Rank, Reply};
@@ -13,6 +13,7 @@
 use crate::protocol::wire::Txn;
 use crate::protocol::{Micros, Settings};
 use std::collections::BTreeMap;
+use walnuttrestle_admission::fair::Asked;
 use walnuttrestle_admission::parts::{Grant, Milli, Rules, Want};
 
 /// A share of the store's budgets of requests and of changes.
@@ -61,24 +62,23 @@
 }
 
 /// How long a grant lasts, and how often the next one comes: often enough that two may be lost.
-const LIFE: Micros = Micros::millis(12_000);
-const GIVE_EVERY: Micros = Micros::millis(3_000);
+const LIFE: Micros = Micros::millis(7_000);
+const GIVE_EVERY: Micros = Micros::millis(2_000);
 /// Shares are taken anew at each step, and there is a step each second at least.
 const LATE: Micros = Micros::millis(1_500);
 /// A controller asks for what clears its queue in this many seconds.
 const CLEAR_S: f64 = 1.5;
 
-/// What a controller lends of its share, in thousandths of changes a second.
-fn lent(s: &Settings, leading: bool) -> Milli {
+/// A controller's fixed share in thousandths of changes a second.
+fn fixed(s: &Settings, leading: bool) -> Milli {
     let n = s.siblings.len();
     let share = Share::of(n, n, leading, true);
-    (share.changes * s.params.state.least_write_rps() * 500.0) as Milli
+    (share.changes * s.params.state.least_write_rps() * 1000.0) as Milli
 }
 
 fn rules(s: &Settings) -> Rules {
-    let followers = s.siblings.len() as Milli;
     Rules {
-        whole: lent(s, true) + followers * lent(s, false),
+        whole: fixed(s, true) / 2,
         life: LIFE.0,
         apart: LATE.0 + (s.params.clock_off_ms * 1000.0) as u64,
     }
@@ -93,8 +93,8 @@
     asks: Milli,
     give_at: Micros,
     giving: bool,
-    /// Newest grant that each sibling has told of. Records outlive them, so they never come to know of
-    /// none, or of an older one.
+    /// Newest grant that each sibling has told of. Records outlive it, so it never comes to use an older
+    /// one again.
     told: BTreeMap<String, u64>,
 }
 
@@ -152,12 +152,19 @@
         let led = lead.is_none_or(|(l, _)| l.node != self.settings.node && heard(&l.node));
         let leading = self.leader.is_some();
         let share = Share::of(siblings.len(), n, leading, led);
-        let part = self.mirror.parts.as_ref().map(|(grant, _)| {
-            let rules = rules(&self.settings);
-            let part = grant.part(&self.settings.node, clock.wall.0, &rules);
-            part as f64 - lent(&self.settings, leading) as f64
-        });
-        let more = part.unwrap_or(0.0) / 1000.0;
+        let more = self.mirror.parts.as_ref().map_or(0.0, |(grant, _)| {
+            let (s, wall) = (&self.settings, clock.wall.0);
+            if leading {
+                // What we had as a follower is ours again, with all that is not lent.
+                let told = |node: &str| match self.budget.told.get(node) {
+                    _ if node == s.node => u64::MAX,
+                    told => told.copied().unwrap_or(0),
+                };
+                -(grant.lent(wall, &rules(s), told) as f64)
+            } else {
+                grant.part(&s.node, wall, &rules(s)) as f64
+            }
+        }) / 1000.0;
         if (share, more) != (self.budget.share, self.budget.more) {
             self.budget.share = share;
             self.budget.more = more;
@@ -171,8 +178,10 @@
         let (edits, _) = self.edits_due(clock.now);
         let waits = (self.front.waiting() + edits) as f64 / CLEAR_S;
         let wanted = (waits + self.front.refused_lately(clock.now)) * 1000.0;
-        let leading = self.leader.is_some();
-        let own = lent(&self.settings, leading);
+        let own = match self.leader {
+            Some(_) => fixed(&self.settings, true) - rules(&self.settings).whole,
+            None => fixed(&self.settings, false),
+        };
         (wanted as Milli)
             .saturating_sub(own)
             .min(rules(&self.settings).whole)
@@ -194,50 +203,39 @@
         }
         let s = &self.settings;
         let rules = rules(s);
-        let mut wants = vec![Want {
-            holder: s.node.clone(),
-            amount: self.budget.asks,
-            weight: lent(s, true) as f64,
-            loose: 0,
-            seen: self.mirror.parts.as_ref().map_or(0, |(g, _)| g.epoch),
-        }];
-        let follower = lent(s, false);
-        let mut pressed = self.budget.asks > lent(s, true);
+        let mut wants = Vec::new();
+        let mut asked = false;
         for x in &s.siblings {
+            // Nobody who is silent, or does not know what a part is, gets any.
             let view = self.sibling_view.get(&x.node);
             let heard = view.filter(|v| now.since(v.heard) < LEADER_SILENT);
-            let reads = self.mirror.format_of(&x.node).0 >= FORMAT;
-            let told = self.budget.told.get(&x.node).copied().unwrap_or(0);
-            let knows = reads && told > 0;
-            let asks = heard.map_or(0, |v| v.asks);
-            pressed |= asks > follower;
-            // Nobody who is silent gets anything; what they may use without a grant stays theirs.
-            if heard.is_some() || !knows {
+            if let Some(v) = heard
+                && self.mirror.format_of(&x.node).0 >= FORMAT
+            {
+                asked |= v.asks > 0;
                 wants.push(Want {
                     holder: x.node.clone(),
-                    amount: asks,
-                    weight: if heard.is_some() {
-                        follower as f64
-                    } else {
-                        0.0
-                    },
-                    loose: if knows { 0 } else { follower },
-                    seen: told,
+                    amount: v.asks,
+                    weight: fixed(s, false) as f64,
+                    seen: self.budget.told.get(&x.node).copied().unwrap_or(0),
                 });
             }
         }
-        let held = self.mirror.parts.as_ref();
-        // The first grant needs everybody to know what it is; it is given when somebody needs it.
-        if held.is_none() && !(pressed && self.all_read(FORMAT)) {
+        if !asked {
+            // What was lent comes back as its grants end.
             return self.budget.give_at;
         }
+        let own = Asked {
+            amount: self.budget.asks as f64,
+            weight: fixed(s, true) as f64,
+        };
         let blank = Grant::default();
-        if held.is_none() {
-            // Until it is on record we use our share as it is.
-            wants[0].loose = lent(s, true);
-        }
-        let (grant, version) = held.map_or((&blank, 0), |(g, v)| (g, *v));
-        let next = grant.next(clock.wall.0, &wants, &rules);
+        let (grant, version) = self
+            .mirror
+            .parts
+            .as_ref()
+            .map_or((&blank, 0), |(g, v)| (g, *v));
+        let next = grant.next(clock.wall.0, own, &wants, &rules);
         log::debug!("parts, epoch {}: {:?}", next.epoch, next.parts);
         let txn = Txn {
             conds: vec![cond(LEAD, l.version), cond(PARTS, version)],
--- a/src/protocol/format.rs
+++ b/src/protocol/format.rs
@@ -15,7 +15,7 @@
 /// take tasks for lost that run.
 pub const BUNDLES: u32 = 3;
 /// Parts of the budget of changes are on record (`records::PartsRec`). A controller that does not read it
-/// keeps to its fixed share, which is then left to it.
+/// keeps to its fixed share, which is never lent.
 pub const PARTS: u32 = 4;
 /// The newest format that this version reads.
 pub const NEWEST: u32 = PARTS;
