--- a/src/coordination/turns.rs
+++ b/src/coordination/turns.rs
@@ -98,8 +98,8 @@
     /// Passes come this many times as far apart while users wait for the processor.
     pub fn stretch(&self, now: Micros) -> f64 {
         match self.age(now).0 {
-            0..250_000 => 1.0,
-            250_000..1_000_000 => 2.0,
+            0..1_000_000 => 1.0,
+            1_000_000..2_500_000 => 2.0,
             _ => 4.0,
         }
     }
