--- a/src/coordination/rooms.rs
+++ b/src/coordination/rooms.rs
@@ -177,12 +177,12 @@
             .any(|h| may_take(&self.hosts[h], "", need, allow))
     }
 
-    /// Machines that would take so many tasks between them, or all there are; those with least room
-    /// first. Nobody's machines are kept for anybody here.
+    /// Machines that would take so many tasks between them, or all there are, the last ones first. Nobody's
+    /// machines are kept for anybody here.
     pub fn enough(&self, need: &Amounts, allow: &Allow, n: u32) -> Vec<usize> {
         let mut left = n;
         let mut found = Vec::new();
-        for h in self.roomy(need, allow) {
+        for h in (0..self.hosts.len()).rev() {
             if left == 0 {
                 break;
             }
