Room is promised on the emptiest of the coming machines first, without a look at the full ones

The emptiest are those rented last, so the order is nearly that of before, and the search ends when there is enough.

--- a/src/coordination/rooms.rs
+++ b/src/coordination/rooms.rs
@@ -177,12 +177,20 @@
             .any(|h| may_take(&self.hosts[h], "", need, allow))
     }
 
-    /// Machines that would take so many tasks between them, or all there are, the last ones first. Nobody's
-    /// machines are kept for anybody here.
+    /// Machines that would take so many tasks between them, or all there are; those with most room first,
+    /// which are the ones rented last. Nobody's machines are kept for anybody here.
     pub fn enough(&self, need: &Amounts, allow: &Allow, n: u32) -> Vec<usize> {
         let mut left = n;
         let mut found = Vec::new();
-        for h in (0..self.hosts.len()).rev() {
+        let pools = self.pools.iter();
+        let allowed = pools.filter(|p| allow.takes(p.kind, p.zone, p.spot));
+        let roomy = allowed.flat_map(|p| {
+            let least = level(&p.total, need, 0.0);
+            let levels = p.levels.range([least[0], 0, 0]..).rev();
+            let fit = levels.filter(move |(l, _)| l[1] >= least[1] && l[2] >= least[2]);
+            fit.flat_map(|(_, list)| list.iter().rev().map(|h| *h as usize))
+        });
+        for h in roomy {
             if left == 0 {
                 break;
             }
