--- a/crates/admission/src/lanes.rs
+++ b/crates/admission/src/lanes.rs
@@ -100,12 +100,9 @@
         lane.map_or(0, |l| l.waiting.len())
     }
 
-    /// What waits in each lane.
-    pub fn sizes(&self) -> impl Iterator<Item = (&K, &C, usize)> {
-        self.teams.iter().flat_map(|(k, t)| {
-            let all = t.lanes.iter();
-            all.map(move |(c, l)| (k, c, l.waiting.len()))
-        })
+    /// Lanes with something waiting.
+    pub fn busy(&self) -> usize {
+        self.teams.values().map(|t| t.turns.len()).sum()
     }
 
     /// Lets an entry wait, or says who has to go. `weight` of its team, above zero; `first`: when its
@@ -130,19 +127,15 @@
                 None => return Taken::Refused(entry),
             }
         }
-        self.insert(team, weight, class, ticket, entry);
+        self.back(team, weight, class, ticket, entry);
         match gone {
             Some(g) => Taken::Instead(ticket, g),
             None => Taken::Waits(ticket),
         }
     }
 
-    /// Puts an entry back in its place: its turn came to nothing.
+    /// Puts an entry in its place, also one whose turn came to nothing.
     pub fn back(&mut self, team: K, weight: f64, class: C, ticket: Ticket, entry: T) {
-        self.insert(team, weight, class, ticket, entry);
-    }
-
-    fn insert(&mut self, team: K, weight: f64, class: C, ticket: Ticket, entry: T) {
         let weight = weight.max(1e-6);
         let now = self.now;
         let t = self.teams.entry(team.clone()).or_insert_with(|| Team {
@@ -342,7 +335,10 @@
                     }
                     _ => _ = q.pop(),
                 }
-                let counted: usize = q.sizes().map(|(_, _, n)| n).sum();
+                let lanes = || q.teams.values().flat_map(|t| t.lanes.values());
+                let counted: usize = lanes().map(|l| l.waiting.len()).sum();
+                let busy = lanes().filter(|l| !l.waiting.is_empty()).count();
+                assert_eq!(busy, q.busy(), "seed {seed}");
                 assert_eq!((counted, q.len() <= 40), (q.len(), true), "seed {seed}");
                 let lanes: usize = q.teams.values().map(|t| t.lanes.len()).sum();
                 assert!(lanes <= 40 * 18 + 16 && q.teams.len() <= 2 * 40 + 16);
--- a/crates/admission/src/parts.rs
+++ b/crates/admission/src/parts.rs
@@ -74,20 +74,13 @@
     /// What all holders together may be using at this time of day by the giver's clock, whichever grants
     /// they have seen. `seen`: the newest that each has told of. The rest of the whole is the giver's.
     pub fn lent(&self, wall: Micros, rules: &Rules, seen: impl Fn(&str) -> u64) -> Milli {
-        let mut holders: Vec<&String> = self.parts.keys().chain(self.owed.keys()).collect();
-        holders.sort();
-        holders.dedup();
-        let bound = |h: &String| {
-            let open = self.open(h, seen(h), wall, rules).into_iter();
-            open.map(|p| p.amount).max().unwrap_or(0)
-        };
-        holders.into_iter().map(bound).sum()
+        let bound = |h: &String| largest(self.open(h, seen(h), wall, rules));
+        self.holders().map(bound).sum()
     }
 
     /// The next grant, given at this time of day. Whoever may still be using more than they get keeps
-    /// the others waiting for the rest.
-    /// What the giver could use itself, `own`, counts like what others want; it is not granted, since
-    /// what is not lent is the giver's.
+    /// the others waiting for the rest. What the giver could use itself, `own`, counts like what others
+    /// want; it is not granted, since what is not lent is the giver's.
     pub fn next(&self, wall: Micros, own: Asked, wants: &[Want], rules: &Rules) -> Grant {
         let asked = wants.iter().map(|w| Asked {
             amount: w.amount as f64,
@@ -97,18 +90,14 @@
         let fair = shares(rules.whole as f64, &asked);
         let fair: Vec<Milli> = fair.into_iter().map(|f| f as Milli).collect();
         let mut owed: BTreeMap<String, Vec<Part>> = BTreeMap::new();
-        let holders = self.parts.keys().chain(self.owed.keys());
-        for h in holders {
-            if !owed.contains_key(h) {
-                let want = wants.iter().find(|w| w.holder == *h);
-                let seen = want.map_or(0, |w| w.seen);
-                owed.insert(h.clone(), self.open(h, seen, wall, rules));
-            }
+        for h in self.holders() {
+            let want = wants.iter().find(|w| w.holder == *h);
+            let seen = want.map_or(0, |w| w.seen);
+            let mut open: Vec<Part> = self.open(h, seen, wall, rules).copied().collect();
+            open.sort_by(|a, b| b.cmp(a));
+            owed.insert(h.clone(), open);
         }
-        let bound = |h: &String| {
-            let parts = owed.get(h).into_iter().flatten();
-            parts.map(|p| p.amount).max().unwrap_or(0)
-        };
+        let bound = |h: &String| largest(owed.get(h).into_iter().flatten());
         let used: Milli = owed.keys().map(bound).sum();
         let free = rules.whole.saturating_sub(used);
         // What anybody is to have beyond what it may be using already comes out of what is free.
@@ -147,19 +136,31 @@
         }
     }
 
+    /// Whoever has a part of any grant that counts.
+    fn holders(&self) -> impl Iterator<Item = &String> {
+        let only_owed = self.owed.keys().filter(|h| !self.parts.contains_key(*h));
+        self.parts.keys().chain(only_owed)
+    }
+
     /// Parts of all grants so far that a holder may still be using.
-    fn open(&self, holder: &str, seen: u64, wall: Micros, rules: &Rules) -> Vec<Part> {
+    fn open(
+        &self,
+        holder: &str,
+        seen: u64,
+        wall: Micros,
+        rules: &Rules,
+    ) -> impl Iterator<Item = &Part> {
         let all = self.parts.get(holder).into_iter();
         let all = all.chain(self.owed.get(holder).into_iter().flatten());
-        let mut open: Vec<Part> = all
-            .filter(|p| wall < p.until + rules.apart && p.epoch >= seen)
-            .copied()
-            .collect();
-        open.sort_by(|a, b| b.cmp(a));
-        open
+        let apart = rules.apart;
+        all.filter(move |p| wall < p.until + apart && p.epoch >= seen)
     }
 }
 
+fn largest<'p>(parts: impl Iterator<Item = &'p Part>) -> Milli {
+    parts.map(|p| p.amount).max().unwrap_or(0)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/bookkeeping/workers.rs
+++ b/src/bookkeeping/workers.rs
@@ -122,6 +122,18 @@
     Unclear,
 }
 
+impl Standing {
+    /// Whether the attempt must be presumed on its machine. One that nobody has started counts while it
+    /// is still `wanted`, since its start may be sent at any moment.
+    pub fn presumed(self, wanted: impl FnOnce() -> bool) -> bool {
+        match self {
+            Standing::There(_) | Standing::Unclear => true,
+            Standing::NotStarted => wanted(),
+            Standing::Gone | Standing::Ended(_) => false,
+        }
+    }
+}
+
 impl Worker {
     /// Takes over a report if it is newer than the last one, and tells what it changed. Most
     /// reports change nothing: those copy nothing either.
--- a/src/coordination/backlog.rs
+++ b/src/coordination/backlog.rs
@@ -32,8 +32,6 @@
     pub form: u32,
     /// What a task needs.
     pub need: Amounts,
-    /// Tasks.
-    pub tasks: u32,
     /// Tasks not done.
     pub left: u32,
 }
@@ -69,10 +67,6 @@
     pub priority: Priority,
     /// Which machines it may use.
     pub allow: Arc<Allow>,
-    /// All tasks in one zone.
-    pub one_zone: bool,
-    /// At most half in one zone.
-    pub spread: bool,
     /// Saves by itself.
     pub saves: bool,
     /// Names what the search for room depends on besides amounts: forms with the same number find
@@ -108,7 +102,7 @@
     pub form: u32,
     /// Image, by name.
     pub image: u32,
-    /// Tasks, and those of them that are not done.
+    /// Tasks.
     pub tasks: u32,
     /// Tasks not done.
     pub left: u32,
@@ -129,7 +123,6 @@
             slot,
             form: self.form,
             need: self.need,
-            tasks: self.tasks,
             left: self.left,
         }
     }
@@ -289,8 +282,6 @@
             class: self.names.id(&spec.class),
             priority: spec.priority,
             allow,
-            one_zone: spec.one_zone,
-            spread: spec.spread,
             saves: spec.saves(),
             reach: *self.reaches.entry(reach).or_insert(next),
         };
--- a/src/coordination/far.rs
+++ b/src/coordination/far.rs
@@ -82,18 +82,26 @@
 pub struct Far<'a> {
     scene: &'a Scene<'a>,
     near: Vec<bool>,
+    count: usize,
 }
 
 impl<'a> Far<'a> {
     /// All but those in these slots.
     pub fn new(scene: &'a Scene<'a>, near: impl Iterator<Item = Slot>) -> Far<'a> {
         let mut marks = vec![false; scene.backlog.slots()];
+        let mut count = scene.backlog.queued();
         for slot in near {
             if let Some(m) = marks.get_mut(slot as usize) {
                 *m = true;
             }
+            let row = scene.backlog.row(slot);
+            count -= usize::from(row.is_some_and(|r| r.stand == Stand::Queued));
+        }
+        Far {
+            scene,
+            near: marks,
+            count,
         }
-        Far { scene, near: marks }
     }
 
     fn far(&self, b: &Brief) -> bool {
@@ -102,10 +110,7 @@
 
     /// How many there are.
     pub fn count(&self) -> usize {
-        let near = self.near.iter().zip(0..).filter(|(near, _)| **near);
-        let rows = near.filter_map(|(_, slot)| self.scene.backlog.row(slot));
-        let queued = rows.filter(|r| r.stand == Stand::Queued).count();
-        self.scene.backlog.queued() - queued
+        self.count
     }
 
     /// Services in order of arrival.
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -432,21 +432,17 @@
         f.count_refusal(clock.now);
         f.refusals.refuse(id, first.0, clock.now.0);
         let ahead = f.lanes.waiting(&spec.team, &spec.class);
-        let lanes = f.lanes.sizes().filter(|(_, _, n)| *n > 0).count().max(1);
-        let rate = self.store.write_rate() / lanes as f64;
+        let rate = self.store.write_rate() / f.lanes.busy().max(1) as f64;
         f.refusals.retry_after(id, ahead, rate, clock.now.0)
     }
 
     /// Refuses an acceptance that is not being written.
     fn give_up(&mut self, clock: Clock, id: &str) {
-        let Some(a) = self.front.accepting.get_mut(id) else {
+        let Some(a) = self.forget_accepting(id) else {
             return;
         };
-        let (conns, first) = (std::mem::take(&mut a.conns), a.first);
-        let spec = a.rec.spec.clone();
-        self.forget_accepting(id);
-        let after = self.come_again(clock, id, first, &spec);
-        for conn in conns {
+        let after = self.come_again(clock, id, a.first, &a.rec.spec);
+        for conn in a.conns {
             self.refuse_until(conn, "too many submissions at once", after);
         }
     }
@@ -590,11 +586,9 @@
         }
     }
 
-    fn forget_accepting(&mut self, id: &str) {
+    fn forget_accepting(&mut self, id: &str) -> Option<Accepting> {
         let f = &mut self.front;
-        let Some(a) = f.accepting.remove(id) else {
-            return;
-        };
+        let a = f.accepting.remove(id)?;
         match a.stand {
             Stand::Waits(ticket) => {
                 let s = &a.rec.spec;
@@ -603,6 +597,7 @@
             Stand::Rests(_, at) => _ = f.resting.remove(&(at, id.to_string())),
             Stand::Flying(_) => {}
         }
+        Some(a)
     }
 
     /// GET /submissions/{id}; `catch_up`: the copy may be behind.
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -162,11 +162,8 @@
     /// Whether a recorded attempt must be presumed on its machine. One that nobody has started
     /// counts while it is still `wanted`, since its start may be sent at any moment.
     pub fn presumed(&self, job: &str, e: &Entry, wanted: bool) -> bool {
-        match self.standing(job, e) {
-            Standing::There(_) | Standing::Unclear => true,
-            Standing::NotStarted => wanted && self.wanted(job, e),
-            Standing::Gone | Standing::Ended(_) => false,
-        }
+        let standing = self.standing(job, e);
+        standing.presumed(|| wanted && self.wanted(job, e))
     }
 
     /// Whether a recorded attempt may be started: it is not being stopped, and its gang has
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -167,8 +167,6 @@
     }
     let mut survey = Survey {
         leader: l,
-        mirror,
-        policy,
         scene: &scene,
         clock,
         hosts,
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -418,42 +418,43 @@
             Kind::Service => !later || guaranteed,
             Kind::Array => guaranteed,
         };
-        let made;
-        let (item, claim) = match met {
-            Met::Near(n) => {
-                let item = &near[n];
-                if !presses(item.spec.kind, item.guaranteed) {
-                    return;
-                }
-                let claim = Claim::of(item, top);
-                if self.hopeless.contains(&claim) {
-                    return;
-                }
-                (item, claim)
+        let (kind, guaranteed) = match met {
+            Met::Near(n) => (near[n].spec.kind, near[n].guaranteed),
+            Met::Far(brief) => {
+                let form = self.far.form_of(brief);
+                (form.kind, self.far.guaranteed(form.team, at))
             }
+        };
+        if !presses(kind, guaranteed) {
+            return;
+        }
+        let claim = match met {
+            Met::Near(n) => Claim::of(&near[n], top),
             Met::Far(brief) => {
                 let form = self.far.form_of(brief);
-                let guaranteed = self.far.guaranteed(form.team, at);
-                if !presses(form.kind, guaranteed) {
-                    return;
-                }
-                let claim = Claim {
-                    kind: form.kind,
+                Claim {
+                    kind,
                     priority: self.far.priority(form, at.1),
                     team: form.team,
                     guaranteed,
                     overdue: guaranteed && self.far.overdue(brief),
-                    aged: form.kind == Kind::Gang && self.far.aged(brief),
+                    aged: kind == Kind::Gang && self.far.aged(brief),
                     top,
-                };
-                if self.hopeless.contains(&claim) {
-                    return;
                 }
+            }
+        };
+        if self.hopeless.contains(&claim) {
+            return;
+        }
+        let made;
+        let item = match met {
+            Met::Near(n) => &near[n],
+            Met::Far(brief) => {
                 let Some(item) = self.far.item(brief) else {
                     return;
                 };
                 made = item;
-                (&made, claim)
+                &made
             }
         };
         match make_way(item, &claim, self.rooms, self.victims, &mut self.plan) {
--- a/src/coordination/rooms.rs
+++ b/src/coordination/rooms.rs
@@ -38,6 +38,18 @@
     levels: BTreeMap<Level, Vec<u32>>,
 }
 
+impl Pool {
+    /// Machines with at least this much room, as far as levels tell, those with least first.
+    fn roomy(&self, need: &Amounts) -> impl DoubleEndedIterator<Item = usize> {
+        let least = level(&self.total, need, 0.0);
+        // The first of the three orders the map: smaller ones are not looked at.
+        self.levels
+            .range([least[0], 0, 0]..)
+            .filter(move |(l, _)| l[1] >= least[1] && l[2] >= least[2])
+            .flat_map(|(_, list)| list.iter().map(|h| *h as usize))
+    }
+}
+
 /// Where a machine is kept: its pool, its level, and its place among those.
 #[derive(Debug, Clone, Copy)]
 struct Seat {
@@ -156,19 +168,15 @@
         self.hosts[h].reserved = Some(job.into());
     }
 
+    /// Pools of machines that may be used.
+    fn allowed(&self, allow: &Allow) -> impl Iterator<Item = &Pool> {
+        let pools = self.pools.iter();
+        pools.filter(|p| allow.takes(p.kind, p.zone, p.spot))
+    }
+
     /// Machines with at least this much room, as far as levels tell.
     fn roomy(&self, need: &Amounts, allow: &Allow) -> impl Iterator<Item = usize> {
-        let pools = self.pools.iter();
-        pools
-            .filter(|p| allow.takes(p.kind, p.zone, p.spot))
-            .flat_map(move |p| {
-                let least = level(&p.total, need, 0.0);
-                // The first of the three orders the map: smaller ones are not looked at.
-                p.levels
-                    .range([least[0], 0, 0]..)
-                    .filter(move |(l, _)| l[1] >= least[1] && l[2] >= least[2])
-                    .flat_map(|(_, list)| list.iter().map(|h| *h as usize))
-            })
+        self.allowed(allow).flat_map(|p| p.roomy(need))
     }
 
     /// Whether any machine would take a task that needs so much; none is kept for its job.
@@ -182,15 +190,7 @@
     pub fn enough(&self, need: &Amounts, allow: &Allow, n: u32) -> Vec<usize> {
         let mut left = n;
         let mut found = Vec::new();
-        let pools = self.pools.iter();
-        let allowed = pools.filter(|p| allow.takes(p.kind, p.zone, p.spot));
-        let roomy = allowed.flat_map(|p| {
-            let least = level(&p.total, need, 0.0);
-            let levels = p.levels.range([least[0], 0, 0]..).rev();
-            let fit = levels.filter(move |(l, _)| l[1] >= least[1] && l[2] >= least[2]);
-            fit.flat_map(|(_, list)| list.iter().rev().map(|h| *h as usize))
-        });
-        for h in roomy {
+        for h in self.allowed(allow).flat_map(|p| p.roomy(need).rev()) {
             if left == 0 {
                 break;
             }
--- a/src/coordination/survey.rs
+++ b/src/coordination/survey.rs
@@ -106,10 +106,6 @@
 pub struct Survey<'s, 'a> {
     /// The leader.
     pub leader: &'a Leader,
-    /// The records.
-    pub mirror: &'a Mirror,
-    /// Operators' settings.
-    pub policy: &'s Policy,
     /// What is to be known of jobs.
     pub scene: &'s Scene<'a>,
     /// Now.
@@ -255,7 +251,6 @@
         let in_flight = l.edits.in_flight(id);
         let chosen: Vec<&'a Entry> = l.edits.places(id).collect();
         let stopping = l.stopping.get(id);
-        let broken = l.broken_gangs.get(id);
         let order = l.order_of.get(id);
         let guaranteed = self.scene.guaranteed(row);
         let priority = self.scene.lifted.of(id, job);
@@ -279,12 +274,7 @@
             let Some(m) = e.machine() else { continue };
             let at = self.stand(id, e, m);
             let s = at.standing;
-            let wanted = || active && broken.is_none_or(|a| *a < e.attempt()) && !stopped(e.task());
-            let presumed = match s {
-                Standing::There(_) | Standing::Unclear => true,
-                Standing::NotStarted => wanted(),
-                Standing::Gone | Standing::Ended(_) => false,
-            };
+            let presumed = s.presumed(|| active && l.wanted(id, e));
             if recorded {
                 if presumed || s == Standing::Ended(Why::Done) {
                     kept.push(e.task());
