What a team is owed comes back on several machines at once, not one every 20 s

Waits came in steps of 20 s.

Change: a guaranteed job presses for as many tasks as lack room, on up to 16 machines; a kept machine counts only for the room that is coming.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -630,6 +630,7 @@
             free: total,
             open: true,
             images: Arc::default(),
+            leaving: [0.0; 3],
             reserved: None,
         })
     };
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -119,6 +119,8 @@
     pub total: Amounts,
     /// Room left.
     pub free: Amounts,
+    /// What tasks take that have been told to stop: room soon.
+    pub leaving: Amounts,
     /// Takes new tasks now.
     pub open: bool,
     /// Images it has or fetches.
@@ -140,6 +142,13 @@
         add(&mut self.free, need);
     }
 
+    /// Room left once what was told to stop is gone.
+    pub fn soon(&self) -> Amounts {
+        let mut room = self.free;
+        add(&mut room, &self.leaving);
+        room
+    }
+
     /// It has the image, or fetches it.
     pub fn has(&self, image: u32) -> bool {
         self.images.contains(&image)
@@ -425,6 +434,7 @@
                     free: [64.0, rng.random_range(0..9) as f64, 256.0],
                     open: rng.random_bool(0.9),
                     images: Arc::new((20..24).filter(|_| rng.random_bool(0.4)).collect()),
+                    leaving: [0.0; 3],
                     reserved: rng.random_bool(0.1).then(|| "other".into()),
                 })
                 .collect();
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -175,6 +175,9 @@
 /// pass must not grow with the length of the queue times the size of the fleet.
 const MAKE_WAY: usize = 8;
 
+/// Room is made on this many machines at once for tasks that start one by one.
+const MACHINES_AT_ONCE: usize = 16;
+
 /// What it takes besides saving until a stopped task's place is taken: a stop, a report, a pass, a
 /// record and a start.
 const STOP_S: f64 = 2.0;
@@ -330,8 +333,8 @@
                 of: met,
                 tasks: short,
             });
-            if !placed {
-                self.press(near, met, at, blocked.is_none(), false);
+            if !placed || self.singly(near, met) {
+                self.press(near, met, at, short, blocked.is_none(), false);
             }
             if !service && blocked.is_none() {
                 blocked = Some(at);
@@ -367,7 +370,7 @@
                     of: met,
                     tasks: short,
                 });
-                self.press(near, met, at, false, true);
+                self.press(near, met, at, short, false, true);
             }
         }
     }
@@ -401,12 +404,22 @@
         short
     }
 
-    /// Makes way for a blocked job, if it is one of those that press and something may give way.
+    /// Whether each task of a job starts for itself, wherever the others are.
+    fn singly(&self, near: &[Item<'a>], met: Met<'a>) -> bool {
+        match met {
+            Met::Near(n) => near[n].spec.kind == Kind::Array,
+            Met::Far(brief) => self.far.form_of(brief).kind == Kind::Array,
+        }
+    }
+
+    /// Makes way for a blocked job, if it is one of those that press and something may give way; `short`
+    /// of its tasks have found no room.
     fn press(
         &mut self,
         near: &[Item<'a>],
         met: Met<'a>,
         at: (Micros, &str),
+        short: u32,
         top: bool,
         later: bool,
     ) {
@@ -457,7 +470,14 @@
                 &made
             }
         };
-        match make_way(item, &claim, self.rooms, self.victims, &mut self.plan) {
+        match make_way(
+            item,
+            short,
+            &claim,
+            self.rooms,
+            self.victims,
+            &mut self.plan,
+        ) {
             Way::Kept => {}
             // What gives way to nobody now will not do so later in this pass.
             Way::None => self.hopeless.push(claim),
@@ -516,8 +536,11 @@
                 return may - k as u32;
             };
             if service && !self.rooms[host].has(shape.image) {
+                // Not one that the job's own tasks have filled.
                 let cleared = |h: &&Host| {
-                    h.reserved.as_deref() == Some(item.id) && slots(&h.free, &shape.need) == 0
+                    h.reserved.as_deref() == Some(item.id)
+                        && slots(&h.free, &shape.need) == 0
+                        && slots(&h.soon(), &shape.need) > 0
                 };
                 let count = || self.rooms.iter().filter(cleared).count();
                 let waits = clearing.get_or_insert_with(count);
@@ -600,20 +623,33 @@
 }
 
 /// If a blocked job fits once others are gone, stops those on its room, latest first, as far as its
-/// `claim` allows. The machines are kept for the job until it has started.
+/// `claim` allows. The machines are kept for the job until it has started; `short` of its tasks have found
+/// no room.
 fn make_way(
     item: &Item<'_>,
+    short: u32,
     claim: &Claim,
     hosts: &[Host],
     victims: &[Victim<'_>],
     plan: &mut Plan<'_>,
 ) -> Way {
-    let kept = |h: &Host| h.reserved.as_deref() == Some(item.id);
-    if hosts.iter().any(kept) {
+    let gang = item.spec.kind == Kind::Gang;
+    let need = item.shape.need;
+    let mut left = short;
+    for h in hosts {
+        if h.reserved.as_deref() != Some(item.id) {
+            continue;
+        }
+        if gang || !claim.guaranteed {
+            return Way::Kept;
+        }
+        // Room that is being made for it, or has been and is not taken yet. A machine on which its tasks run
+        // by now is none: once, what a team is owed came back by one machine every twenty seconds.
+        left = left.saturating_sub(slots(&h.soon(), &need));
+    }
+    if left == 0 {
         return Way::Kept;
     }
-    let gang = item.spec.kind == Kind::Gang;
-    let array = item.spec.kind == Kind::Array;
     let may = |v: &&Victim<'_>| {
         claim.over(v)
             && hosts[v.host].reserved.is_none()
@@ -630,47 +666,26 @@
     for v in &victims {
         without[v.host].give(&v.need);
     }
-    let need = item.shape.need;
-    let n = if gang { item.tasks.len() as u32 } else { 1 };
-    // For one task the fullest machine serves, so that as few as possible have to go.
-    let found = if n == 1 {
-        let present = &item.present;
-        let fits = |h: &Host| {
-            let in_zone = present.iter().filter(|(z, _)| *z == h.zone).count() as u32;
-            let apart = item.spec.one_zone && present.iter().any(|(z, _)| *z != h.zone);
-            let crowded = item.spec.spread && in_zone >= item.spec.tasks.div_ceil(2);
-            !apart && !crowded
-        };
-        let lost = |i: usize| (without[i].free[1] - hosts[i].free[1]).max(0.0);
-        (0..without.len())
-            .filter(|i| {
-                let h = &without[*i];
-                fits(h) && placement::may_take(h, item.id, &need, &item.shape.allow)
-            })
-            .min_by(|a, b| {
-                let image = |i: usize| !without[i].has(item.shape.image);
-                (lost(*a), image(*a))
-                    .partial_cmp(&(lost(*b), image(*b)))
-                    .unwrap_or(std::cmp::Ordering::Equal)
-            })
-            .map(|i| vec![i])
-    } else {
+    let mut found: BTreeMap<usize, u32> = BTreeMap::new();
+    if gang && short > 1 {
         let all = 0..without.len();
-        placement::gang(&without, all, item.id, item.spec, &item.shape, n, 1.0)
-    };
-    let Some(found) = found else {
-        return Way::Weighed;
-    };
-    let mut by_host: BTreeMap<usize, u32> = BTreeMap::new();
-    for h in found {
-        *by_host.entry(h).or_default() += 1;
+        let all = placement::gang(&without, all, item.id, item.spec, &item.shape, short, 1.0);
+        for h in all.into_iter().flatten() {
+            *found.entry(h).or_default() += 1;
+        }
+    } else {
+        // What a team is owed it gets at once. Others press gently: what they stop may have to begin anew.
+        let most = if claim.guaranteed {
+            MACHINES_AT_ONCE
+        } else {
+            1
+        };
+        found = one_by_one(item, left, most, hosts, &without);
     }
-    for (h, n) in by_host {
+    for (h, n) in found {
         let mut free = hosts[h].free;
         let mut here: Vec<&&Victim<'_>> = victims.iter().filter(|v| v.host == h).collect();
         here.sort_by_key(|v| std::cmp::Reverse(v.order));
-        // An array takes as much of its machine as it can use.
-        let n = if array { item.tasks.len() as u32 } else { n };
         for v in here {
             if slots(&free, &need) >= n {
                 break;
@@ -683,6 +698,54 @@
     Way::Weighed
 }
 
+/// At most so many machines for `left` tasks that start one by one, and how many on each, were all that gives way gone from
+/// them as in `without`; the fullest first, so that as few as possible have to go.
+fn one_by_one(
+    item: &Item<'_>,
+    left: u32,
+    most: usize,
+    hosts: &[Host],
+    without: &[Host],
+) -> BTreeMap<usize, u32> {
+    let need = item.shape.need;
+    let kept = hosts
+        .iter()
+        .filter(|h| h.reserved.as_deref() == Some(item.id) && slots(&h.soon(), &need) > 0);
+    let mut zones: Vec<u32> = item.present.iter().map(|(z, _)| *z).collect();
+    zones.extend(kept.map(|h| h.zone));
+    let half = item.spec.tasks.div_ceil(2) as usize;
+    let fits = |zones: &[u32], zone: u32| {
+        let in_zone = zones.iter().filter(|z| **z == zone).count();
+        let apart = item.spec.one_zone && in_zone < zones.len();
+        let crowded = item.spec.spread && in_zone >= half;
+        !apart && !crowded
+    };
+    let lost = |i: usize| (without[i].free[1] - hosts[i].free[1]).max(0.0);
+    let image = |i: usize| !without[i].has(item.shape.image);
+    let takes = |i: &usize| placement::may_take(&without[*i], item.id, &need, &item.shape.allow);
+    let mut all: Vec<usize> = (0..without.len()).filter(takes).collect();
+    all.sort_by(|a, b| {
+        let by = (lost(*a), image(*a)).partial_cmp(&(lost(*b), image(*b)));
+        by.unwrap_or(std::cmp::Ordering::Equal)
+    });
+    let array = item.spec.kind == Kind::Array;
+    let (mut left, mut found) = (left, BTreeMap::new());
+    for h in all {
+        if left == 0 || found.len() >= most {
+            break;
+        }
+        if !fits(&zones, without[h].zone) {
+            continue;
+        }
+        // An array takes as much of its machine as it can use; replicas are better apart.
+        let n = slots(&without[h].free, &need).min(if array { left } else { 1 });
+        zones.push(without[h].zone);
+        found.insert(h, n);
+        left -= n;
+    }
+    found
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -702,6 +765,7 @@
             free: [free; 3],
             open: true,
             images: Arc::new(images.to_vec()),
+            leaving: [0.0; 3],
             reserved: None,
         }
     }
@@ -797,6 +861,7 @@
         // While that is being saved nothing else is stopped, and the replica waits.
         let mut clearing = fleet();
         clearing[1].reserved = Some("req-2".into());
+        clearing[1].leaving = [1.0; 3];
         let plan = run(item(&service, 20.0), &clearing, &low);
         assert!(plan.stops.is_empty() && plan.places.is_empty() && plan.lacks.is_empty());
         // Then it takes the place.
@@ -810,6 +875,43 @@
         }
     }
 
+    /// Fails if what a team is owed comes back machine by machine, or if a machine that the job's own tasks
+    /// have filled counts as room that is still being made.
+    #[test]
+    fn what_a_team_is_owed_comes_back_on_several_machines_at_once() {
+        let array = Spec::sample(Kind::Array);
+        let waits = |tasks: u32, guaranteed| Item {
+            tasks: (0..tasks).collect(),
+            guaranteed,
+            ..item(&array, 1.0)
+        };
+        let mut fleet = [
+            host(0.0, &[]),
+            host(0.0, &[]),
+            host(0.0, &[]),
+            host(0.0, &[]),
+        ];
+        let guests: Vec<Victim<'_>> = (0..16)
+            .map(|n| Victim {
+                task: n as u32,
+                host: n % 4,
+                order: n as u64,
+                team: 1,
+                surplus: true,
+                ..victim(Priority::Low)
+            })
+            .collect();
+        let plan = run(waits(6, true), &fleet, &guests);
+        assert_eq!((plan.stops.len(), plan.reserved.len()), (6, 2));
+        assert!(run(waits(6, false), &fleet, &guests).stops.is_empty());
+        // One machine is theirs and full of their tasks, on another two guests are about to go.
+        fleet[0].reserved = Some("req-2".into());
+        fleet[1].reserved = Some("req-2".into());
+        fleet[1].leaving = [2.0; 3];
+        let plan = run(waits(6, true), &fleet, &guests);
+        assert_eq!((plan.stops.len(), plan.reserved.len()), (4, 1));
+    }
+
     #[test]
     fn a_gang_that_has_waited_for_long_takes_the_place_of_what_cannot_save() {
         let gang = Spec {
--- a/src/coordination/rooms.rs
+++ b/src/coordination/rooms.rs
@@ -262,6 +262,7 @@
                 free: total.map(|t| (t * rng.random_range(0.0..1.05)).round()),
                 open: rng.random_bool(0.8),
                 images: Arc::default(),
+                leaving: [0.0; 3],
                 reserved: rng.random_bool(0.1).then(|| "req-9".into()),
             }
         };
--- a/src/coordination/survey.rs
+++ b/src/coordination/survey.rs
@@ -5,7 +5,7 @@
 use super::far::Scene;
 use super::leader::{FRESH_REPORTS, Leader, grace, sick};
 use super::node::Clock;
-use super::placement::{Amounts, Host, Names, size};
+use super::placement::{Amounts, Host, Names, add, size};
 use super::policy::Policy;
 use super::queue::{Item, PLACES, TeamRoom, Victim};
 use super::recovery::Lost;
@@ -172,6 +172,7 @@
             session: w.session,
             total,
             free: total,
+            leaving: [0.0; 3],
             open,
             images: known.of(name, t.cache_gb, mirror, names),
             reserved: reserved.map(|(j, _)| j.as_str().into()),
@@ -302,6 +303,9 @@
                     let host = &mut self.hosts.list[h];
                     host.take(&row.need);
                     host.gets(row.image);
+                    if stopped(e.task()) {
+                        add(&mut host.leaving, &row.need);
+                    }
                     // A machine that the cloud is about to take: what can save does so now,
                     // a gang as a whole.
                     let notice = self.hosts.workers[h].notice;
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -190,6 +190,7 @@
             session: w.session,
             total,
             free: total,
+            leaving: [0.0; 3],
             open,
             images: mirror
                 .images
@@ -274,6 +275,9 @@
                 let host = &mut hosts.list[h];
                 host.take(&shape.need);
                 host.gets(shape.image);
+                if l.stop_of(id, e.task()).is_some() {
+                    placement::add(&mut host.leaving, &shape.need);
+                }
                 // A machine that the cloud is about to take: what can save does so now,
                 // a gang as a whole.
                 let notice = l.workers.get(m).and_then(|w| w.notice);
@@ -490,6 +494,7 @@
 /// Room is looked for on behalf of this many blocked jobs a pass, first come first: the work of a
 /// pass must not grow with the length of the queue times the size of the fleet.
 const MAKE_WAY: usize = 8;
+const MACHINES_AT_ONCE: usize = 16;
 
 /// What it takes besides saving until a stopped task's place is taken: a stop, a report, a pass, a
 /// record and a start.
@@ -542,8 +547,9 @@
         }
         plan.lacks.push((item.id.to_string(), short));
         let presses = item.spec.kind != Kind::Array || item.guaranteed;
-        if presses && plan.places.len() == before && tries > 0 {
-            tries -= usize::from(make_way(item, hosts, victims, !blocked, &mut plan));
+        let singly = item.spec.kind == Kind::Array;
+        if presses && (plan.places.len() == before || singly) && tries > 0 {
+            tries -= usize::from(make_way(item, short, hosts, victims, !blocked, &mut plan));
         }
         blocked |= item.spec.kind != Kind::Service;
     }
@@ -557,7 +563,7 @@
         if short > 0 {
             plan.lacks.push((item.id.to_string(), short));
             if (item.spec.kind == Kind::Gang || item.guaranteed) && tries > 0 {
-                tries -= usize::from(make_way(item, hosts, victims, false, &mut plan));
+                tries -= usize::from(make_way(item, short, hosts, victims, false, &mut plan));
             }
         }
     }
@@ -617,7 +623,9 @@
         };
         if service && !hosts[host].has(item.shape.image) {
             let cleared = |h: &&Host| {
-                h.reserved.as_deref() == Some(item.id) && slots(&h.free, &item.shape.need) == 0
+                h.reserved.as_deref() == Some(item.id)
+                    && slots(&h.free, &item.shape.need) == 0
+                    && slots(&h.soon(), &item.shape.need) > 0
             };
             let waits = clearing.get_or_insert_with(|| hosts.iter().filter(cleared).count());
             if *waits > 0 {
@@ -681,18 +689,29 @@
 /// machines are kept for the job until it has started. Tells whether there was anything to weigh.
 fn make_way(
     item: &Item<'_>,
+    short: u32,
     hosts: &[Host],
     victims: &[Victim<'_>],
     top: bool,
     plan: &mut Plan,
 ) -> bool {
-    let kept = |h: &Host| h.reserved.as_deref() == Some(item.id);
-    if hosts.iter().any(kept) {
-        return false;
-    }
     let service = item.spec.kind == Kind::Service;
     let gang = item.spec.kind == Kind::Gang;
     let array = item.spec.kind == Kind::Array;
+    let need = item.shape.need;
+    let kept = |h: &&Host| h.reserved.as_deref() == Some(item.id);
+    if (gang || !item.guaranteed) && hosts.iter().any(|h| kept(&h)) {
+        return false;
+    }
+    let coming: u32 = hosts
+        .iter()
+        .filter(kept)
+        .map(|h| slots(&h.soon(), &need))
+        .sum();
+    let mut left = short.saturating_sub(coming);
+    if left == 0 {
+        return false;
+    }
     let may = |v: &&Victim<'_>| {
         let lower = v.priority < item.priority && (v.saves || service) && !array;
         // A guarantee is given back by whoever runs beyond their own: at once by single tasks that
@@ -715,54 +734,52 @@
     for v in &victims {
         without[v.host].give(&v.need);
     }
-    let need = item.shape.need;
-    let n = if gang { item.tasks.len() as u32 } else { 1 };
-    // For one task the fullest machine serves, so that as few as possible have to go.
-    let found = if n == 1 {
-        let present = &item.present;
-        let fits = |h: &Host| {
-            let in_zone = present.iter().filter(|(z, _)| *z == h.zone).count() as u32;
-            let apart = item.spec.one_zone && present.iter().any(|(z, _)| *z != h.zone);
-            let crowded = item.spec.spread && in_zone >= item.spec.tasks.div_ceil(2);
-            !apart && !crowded
-        };
-        let lost = |i: usize| (without[i].free[1] - hosts[i].free[1]).max(0.0);
-        (0..without.len())
-            .filter(|i| {
-                fits(&without[*i])
-                    && may_take(&without[*i], item.id, &item.shape.need, &item.shape.allow)
-            })
-            .min_by(|a, b| {
-                let image = |i: usize| !without[i].has(item.shape.image);
-                (lost(*a), image(*a))
-                    .partial_cmp(&(lost(*b), image(*b)))
-                    .unwrap_or(std::cmp::Ordering::Equal)
-            })
-            .map(|i| vec![i])
-    } else {
-        placement::gang(
-            &without,
-            0..without.len(),
-            item.id,
-            item.spec,
-            &item.shape,
-            n,
-            1.0,
-        )
-    };
-    let Some(found) = found else {
-        return true;
-    };
     let mut by_host: BTreeMap<usize, u32> = BTreeMap::new();
-    for h in found {
-        *by_host.entry(h).or_default() += 1;
+    if gang && short > 1 {
+        let all = 0..without.len();
+        let found = placement::gang(&without, all, item.id, item.spec, &item.shape, short, 1.0);
+        for h in found.into_iter().flatten() {
+            *by_host.entry(h).or_default() += 1;
+        }
+    } else {
+        // The fullest machines serve, so that as few as possible have to go.
+        let mut zones: Vec<u32> = item.present.iter().map(|(z, _)| *z).collect();
+        let soon = hosts.iter().filter(kept);
+        let soon = soon.filter(|h| slots(&h.soon(), &need) > 0);
+        zones.extend(soon.map(|h| h.zone));
+        let at_once = if item.guaranteed { MACHINES_AT_ONCE } else { 1 };
+        while left > 0 && by_host.len() < at_once {
+            let fits = |h: &Host| {
+                let in_zone = zones.iter().filter(|z| **z == h.zone).count() as u32;
+                let apart = item.spec.one_zone && zones.iter().any(|z| *z != h.zone);
+                let crowded = item.spec.spread && in_zone >= item.spec.tasks.div_ceil(2);
+                !apart && !crowded
+            };
+            let lost = |i: usize| (without[i].free[1] - hosts[i].free[1]).max(0.0);
+            let best = (0..without.len())
+                .filter(|i| {
+                    !by_host.contains_key(i)
+                        && fits(&without[*i])
+                        && may_take(&without[*i], item.id, &need, &item.shape.allow)
+                })
+                .min_by(|a, b| {
+                    let image = |i: usize| !without[i].has(item.shape.image);
+                    (lost(*a), image(*a))
+                        .partial_cmp(&(lost(*b), image(*b)))
+                        .unwrap_or(std::cmp::Ordering::Equal)
+                });
+            let Some(h) = best else { break };
+            let most = if array { left } else { 1 };
+            let n = slots(&without[h].free, &need).min(most);
+            zones.push(without[h].zone);
+            by_host.insert(h, n);
+            left -= n;
+        }
     }
     for (h, n) in by_host {
         let mut free = hosts[h].free;
         let mut here: Vec<&&Victim<'_>> = victims.iter().filter(|v| v.host == h).collect();
         here.sort_by_key(|v| std::cmp::Reverse(v.order));
-        // An array takes as much of its machine as it can use.
-        let n = if array { item.tasks.len() as u32 } else { n };
         for v in here {
             if slots(&free, &need) >= n {
                 break;
