--- a/src/coordination/far.rs
+++ b/src/coordination/far.rs
@@ -78,13 +78,6 @@
     (*at, id)
 }
 
-/// A turn in a pass: what teams are owed (false) need not wait for others (true); then by arrival.
-pub type Turn<'a> = (bool, Micros, &'a str);
-
-fn turn(owed: bool, (at, id): &Arrival) -> Turn<'_> {
-    (!owed, *at, id)
-}
-
 /// Those jobs, without the ones that a pass has looked into for other reasons.
 pub struct Far<'a> {
     scene: &'a Scene<'a>,
@@ -111,56 +104,32 @@
         }
     }
 
+    fn far(&self, b: &Brief) -> bool {
+        !self.near[b.slot as usize]
+    }
+
     /// How many there are.
     pub fn count(&self) -> usize {
         self.count
     }
 
-    /// Whether a job is far, and within its team's guarantee or not, as asked for.
-    fn is(&self, owed: bool, at: &Arrival, b: &Brief) -> bool {
-        !self.near[b.slot as usize] && self.guaranteed(self.form_of(b).team, place(at)) == owed
-    }
-
-    /// Whether any team has a guarantee that reaches a job.
-    fn owes(&self) -> bool {
-        self.scene.within.reaches()
-    }
-
-    /// Services in order of arrival, those within guarantees or the others.
-    fn replicas_of(&self, owed: bool) -> impl Iterator<Item = (Turn<'a>, &'a Brief)> + '_ {
+    /// Services in order of arrival.
+    pub fn replicas(&self) -> impl Iterator<Item = (Place<'a>, &'a Brief)> + '_ {
         let all = self.scene.backlog.replicas();
-        all.filter(move |(a, b)| self.is(owed, a, b))
-            .map(move |(a, b)| (turn(owed, a), b))
-    }
-
-    /// Services: those within guarantees first, then in order of arrival.
-    pub fn replicas(&self) -> impl Iterator<Item = (Turn<'a>, &'a Brief)> + '_ {
-        let owed = self.owes().then(|| self.replicas_of(true));
-        owed.into_iter().flatten().chain(self.replicas_of(false))
+        all.filter(|(_, b)| self.far(b)).map(|(a, b)| (place(a), b))
     }
 
-    fn others_of(&self, owed: bool) -> impl Iterator<Item = (Turn<'a>, &'a Brief)> + '_ {
+    /// Gangs and arrays in order of arrival.
+    pub fn others(&self) -> impl Iterator<Item = (Place<'a>, &'a Brief)> + '_ {
         let all = self.scene.backlog.others();
-        all.filter(move |(a, b)| self.is(owed, a, b))
-            .map(move |(a, b)| (turn(owed, a), b))
+        all.filter(|(_, b)| self.far(b)).map(|(a, b)| (place(a), b))
     }
 
-    /// Gangs and arrays: those within guarantees first, then in order of arrival.
-    pub fn others(&self) -> impl Iterator<Item = (Turn<'a>, &'a Brief)> + '_ {
-        let owed = self.owes().then(|| self.others_of(true));
-        owed.into_iter().flatten().chain(self.others_of(false))
-    }
-
-    fn shortest_of(&self, owed: bool) -> impl Iterator<Item = (f64, Turn<'a>, &'a Brief)> + '_ {
+    /// Gangs and arrays, shortest estimate first.
+    pub fn shortest(&self) -> impl Iterator<Item = (f64, Place<'a>, &'a Brief)> + '_ {
         let all = self.scene.backlog.shortest();
-        all.filter(move |((_, a), b)| self.is(owed, a, b))
-            .map(move |((e, a), b)| (e.0, turn(owed, a), b))
-    }
-
-    /// Gangs and arrays: those within guarantees first, then shortest estimate first.
-    pub fn shortest(&self) -> impl Iterator<Item = (f64, Turn<'a>, &'a Brief)> + '_ {
-        let owed = self.owes().then(|| self.shortest_of(true));
-        owed.into_iter().flatten().chain(self.shortest_of(false))
+        all.filter(|(_, b)| self.far(b))
+            .map(|((e, a), b)| (e.0, place(a), b))
     }
 
     /// What a job has in common with others.
@@ -209,7 +178,7 @@
     pub fn item(&self, b: &Brief) -> Option<Item<'a>> {
         let row = self.scene.backlog.row(b.slot)?;
         let (id, job) = self.job(&row.id)?;
-        debug_assert!(!self.near[b.slot as usize]);
+        debug_assert!(self.far(b));
         let most = far_tasks(self.form_of(b).kind == Kind::Gang, b) as usize;
         let open = (0..job.rec.spec.tasks).filter(|t| !job.is_done(*t));
         Some(self.scene.item(id, job, row, open.take(most).collect()))
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -6,7 +6,7 @@
 //! looked for in vain is not looked for again on behalf of the next.
 
 use super::backlog::Brief;
-use super::far::{Far, Turn};
+use super::far::Far;
 use super::placement::{self, Amounts, Host, Picker, Shape, slots};
 use super::recovery::Recovery;
 use super::rooms::{Rooms, Vain};
@@ -49,13 +49,6 @@
     pub aged: bool,
 }
 
-impl<'a> Item<'a> {
-    /// Its turn in a pass.
-    fn turn(&self) -> Turn<'a> {
-        (!self.guaranteed, self.at, self.id)
-    }
-}
-
 /// A running task that may have to make room.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Victim<'a> {
@@ -293,8 +286,8 @@
         let mut replicas = far.replicas().peekable();
         let mut others = far.others().peekable();
         let mut here = near.iter().enumerate().peekable();
-        // The first gang or array that did not fit, by its turn; later ones come afterwards.
-        let mut blocked: Option<Turn<'_>> = None;
+        // The first gang or array that did not fit, by its arrival; later ones come afterwards.
+        let mut blocked: Option<(Micros, &str)> = None;
         let mut later: Vec<(usize, &Item<'a>)> = Vec::new();
         loop {
             if self.full() {
@@ -306,7 +299,7 @@
             let first = [replica, other].into_iter().flatten().min();
             let next = match here.peek() {
                 Some((_, i)) if Recovery::first(i) => here.next(),
-                Some((_, i)) if first.is_none_or(|f| i.turn() < f) => here.next(),
+                Some((_, i)) if first.is_none_or(|f| (i.at, i.id) < f) => here.next(),
                 _ if first.is_none() => break,
                 _ => None,
             };
@@ -319,7 +312,7 @@
                 let before = self.plan.places.len();
                 let short = self.start(item, false);
                 let placed = self.plan.places.len() > before;
-                (Met::Near(n), item.turn(), service, short, placed)
+                (Met::Near(n), (item.at, item.id), service, short, placed)
             } else {
                 let service = first == replica;
                 let row = if service {
@@ -348,28 +341,25 @@
             }
         }
         let Some(blocked) = blocked else { return };
-        later.sort_by(|(_, a), (_, b)| {
-            let owed = b.guaranteed.cmp(&a.guaranteed);
-            owed.then(a.estimate_s.total_cmp(&b.estimate_s))
-        });
+        later.sort_by(|(_, a), (_, b)| a.estimate_s.total_cmp(&b.estimate_s));
         let mut later = later.into_iter().peekable();
         let mut rows = far.shortest().filter(|(_, at, _)| *at > blocked);
         let mut row = rows.next();
         while !self.full() {
-            let ours = later.peek().map(|(_, i)| (i.estimate_s, i.turn()));
-            let theirs = row.map(|(estimate, at, _)| (estimate, at));
+            let ours = later.peek().map(|(_, i)| (i.estimate_s, i.at, i.id));
+            let theirs = row.map(|(estimate, at, _)| (estimate, at.0, at.1));
             let near_first = match (ours, theirs) {
                 (None, None) => break,
                 (Some(_), None) => true,
                 (None, Some(_)) => false,
-                (Some((a, x)), Some((b, y))) => {
-                    let owed = x.0.cmp(&y.0);
-                    owed.then(a.total_cmp(&b)).then(x.cmp(&y)).is_lt()
+                (Some(a), Some(b)) => {
+                    let order = a.0.total_cmp(&b.0);
+                    order.then((a.1, a.2).cmp(&(b.1, b.2))).is_lt()
                 }
             };
             let (met, at, short) = if near_first {
                 let Some((n, item)) = later.next() else { break };
-                (Met::Near(n), item.turn(), self.start(item, true))
+                (Met::Near(n), (item.at, item.id), self.start(item, true))
             } else {
                 let Some((_, at, brief)) = row else { break };
                 row = rows.next();
@@ -428,7 +418,7 @@
         &mut self,
         near: &[Item<'a>],
         met: Met<'a>,
-        at: Turn<'_>,
+        at: (Micros, &str),
         short: u32,
         top: bool,
         later: bool,
@@ -445,7 +435,7 @@
             Met::Near(n) => (near[n].spec.kind, near[n].guaranteed),
             Met::Far(brief) => {
                 let form = self.far.form_of(brief);
-                (form.kind, !at.0)
+                (form.kind, self.far.guaranteed(form.team, at))
             }
         };
         if !presses(kind, guaranteed) {
@@ -457,7 +447,7 @@
                 let form = self.far.form_of(brief);
                 Claim {
                     kind,
-                    priority: self.far.priority(form, at.2),
+                    priority: self.far.priority(form, at.1),
                     team: form.team,
                     guaranteed,
                     overdue: guaranteed && self.far.overdue(brief),
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -102,9 +102,9 @@
         item.lost > 0 && item.spec.kind == Kind::Service
     }
 
-    /// Puts jobs into the order in which they are considered: what teams are owed need not wait for others.
+    /// Puts jobs into the order in which they are considered.
     pub fn order(items: &mut [Item<'_>]) {
-        items.sort_by_key(|i| (!Recovery::first(i), !i.guaranteed, i.at, i.id));
+        items.sort_by_key(|i| (!Recovery::first(i), i.at, i.id));
     }
 }
 
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -111,7 +111,7 @@
     }
     unrecorded(l, mirror, &mut hosts);
     let first = |i: &Item<'_>| i.lost > 0 && i.spec.kind == Kind::Service;
-    items.sort_by_key(|i| (!first(i), !i.guaranteed, i.at, i.id));
+    items.sort_by_key(|i| (!first(i), i.at, i.id));
     for h in &mut hosts.list {
         if h.reserved
             .as_ref()
@@ -553,10 +553,7 @@
         }
         blocked |= item.spec.kind != Kind::Service;
     }
-    later.sort_by(|a, b| {
-        let owed = b.guaranteed.cmp(&a.guaranteed);
-        owed.then(a.estimate_s.total_cmp(&b.estimate_s))
-    });
+    later.sort_by(|a, b| a.estimate_s.total_cmp(&b.estimate_s));
     for item in later {
         if plan.places.len() >= most {
             break;
