A guest's wide array takes half a pass at most; no machine is blamed for jobs' mistakes

Change: arrays with a pass's worth of tasks take half of a pass between them, the rest after all others have been met. Errors of a job that fails anywhere do not count against a machine; an array at fault is tried with one task.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,6 +1,6 @@
 //! Machines: renting, adopting, giving up and returning them.
 
-use super::leader::{Leader, sick};
+use super::leader::Leader;
 use super::node::{CallTag, Clock, Node, Tag, cond, put};
 use super::placement::{self, Allow, Amounts, Host, Names, Shape, slots};
 use super::policy::Policy;
@@ -792,7 +792,7 @@
         if !hosts.find(name).is_some_and(|h| rooms[h].empty()) {
             continue;
         }
-        if sick(w, policy) {
+        if l.sick(w, policy) {
             leave.push((name.clone(), "tasks of several jobs fail on it"));
             continue;
         }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -309,17 +309,35 @@
     }
 }
 
-/// Whether a machine fails tasks of several jobs in a row.
-pub fn sick(w: &Worker, policy: &super::policy::Policy) -> bool {
-    w.errors.len() as f64 >= policy.sick_after
+impl Trouble {
+    /// It has failed on so many machines in a row that the job itself is at fault.
+    pub fn jobs_fault(&self) -> bool {
+        self.row > JOBS_FAULT
+    }
+
+    /// It has not failed for a while.
+    pub fn quiet(&self, now: Micros) -> bool {
+        self.machines.values().all(|at| now.since(*at) > SUSPECT)
+    }
 }
 
 impl Leader {
+    /// The errors on a machine for which the machine may be to blame: not those of jobs that fail anywhere.
+    fn blamed<'a>(&'a self, w: &'a Worker) -> impl Iterator<Item = Micros> + 'a {
+        let own = |job: &String| self.troubles.get(job).is_none_or(|t| !t.jobs_fault());
+        let errors = w.errors.iter().filter(move |(_, job)| own(job));
+        errors.map(|(t, _)| *t)
+    }
+
+    /// Whether a machine fails tasks of several jobs in a row.
+    pub fn sick(&self, w: &Worker, policy: &super::policy::Policy) -> bool {
+        w.errors.len() as f64 >= policy.sick_after
+            && self.blamed(w).count() as f64 >= policy.sick_after
+    }
+
     /// Whether a machine may be the reason why a job has just failed on it.
     pub fn suspect(&self, w: &Worker, now: Micros) -> bool {
-        w.errors.iter().any(|(t, job)| {
-            now < *t + SUSPECT && self.troubles.get(job).is_none_or(|x| x.row <= JOBS_FAULT)
-        })
+        self.blamed(w).any(|t| now < t + SUSPECT)
     }
 
     /// Forgets what failed long ago.
@@ -493,7 +511,7 @@
                 }
                 let before = trouble.machines.insert(name.to_string(), clock.now);
                 trouble.row += u32::from(before.is_none());
-                if trouble.row > JOBS_FAULT {
+                if trouble.jobs_fault() {
                     trouble.again = clock.now + Micros::millis(1000 << trouble.row.min(6));
                 }
                 w.ran_since.clear();
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -171,6 +171,10 @@
 /// Most places of one pass; a gang may exceed it.
 pub const PLACES: usize = 128;
 
+/// Arrays with a pass's worth of tasks to start take no more than this between them until all others
+/// have been met: one of 25,000 short tasks held up everybody for minutes.
+const WIDE_PLACES: u32 = PLACES as u32 / 2;
+
 /// Room is looked for on behalf of this many blocked jobs a pass, first come first: the work of a
 /// pass must not grow with the length of the queue times the size of the fleet.
 const MAKE_WAY: usize = 8;
@@ -242,6 +246,10 @@
     vain: Vec<Vain>,
     /// Claims to which nothing gives way.
     hopeless: Vec<Claim>,
+    /// What wide arrays may still take before all others have been met.
+    wide: u32,
+    /// Wide arrays of which more could be started, and whether it would be backfilled.
+    cut: Vec<(Met<'a>, u32, bool)>,
     plan: Plan<'a>,
 }
 
@@ -266,9 +274,12 @@
         tries: MAKE_WAY,
         vain: vec![Vain::default(); far.reaches()],
         hopeless: Vec::new(),
+        wide: WIDE_PLACES,
+        cut: Vec::new(),
         plan: Plan::default(),
     };
     p.walk(near);
+    p.widen(near);
     p.plan
 }
 
@@ -310,7 +321,7 @@
                     continue;
                 }
                 let before = self.plan.places.len();
-                let short = self.start(item, false);
+                let short = self.start(Met::Near(n), item, false);
                 let placed = self.plan.places.len() > before;
                 (Met::Near(n), (item.at, item.id), service, short, placed)
             } else {
@@ -359,7 +370,11 @@
             };
             let (met, at, short) = if near_first {
                 let Some((n, item)) = later.next() else { break };
-                (Met::Near(n), (item.at, item.id), self.start(item, true))
+                (
+                    Met::Near(n),
+                    (item.at, item.id),
+                    self.start(Met::Near(n), item, true),
+                )
             } else {
                 let Some((_, at, brief)) = row else { break };
                 row = rows.next();
@@ -376,7 +391,7 @@
     }
 
     /// Starts what fits of a job far; returns how many tasks found no room, its team's limit aside.
-    fn visit(&mut self, row: &Brief, backfill: bool) -> u32 {
+    fn visit(&mut self, row: &'a Brief, backfill: bool) -> u32 {
         let form = self.far.form_of(row);
         let gang = form.kind == Kind::Gang;
         let n = far_tasks(gang, row);
@@ -397,7 +412,7 @@
         let Some(item) = self.far.item(row) else {
             return 0;
         };
-        let short = self.start(&item, backfill);
+        let short = self.start(Met::Far(row), &item, backfill);
         if gang && short > 0 {
             self.vain[form.reach as usize].add(&row.need, n);
         }
@@ -492,13 +507,23 @@
     }
 
     /// Starts what fits of one job; returns how many tasks found no room, its team's limit aside.
-    fn start(&mut self, item: &Item<'_>, backfill: bool) -> u32 {
+    fn start(&mut self, met: Met<'a>, item: &Item<'_>, backfill: bool) -> u32 {
         let spec = item.spec;
         let n = item.tasks.len() as u32;
-        let ratio = self.ratio(spec.tasks, &item.shape.need);
         let may = self.room.slots(item.team, &item.shape.need).min(n);
-        let shape = &item.shape;
+        if spec.kind == Kind::Array && !spec.one_zone && !spec.spread && n >= PLACES as u32 {
+            let first = may.min(self.wide);
+            let short = self.spread(item, &item.tasks[..first as usize], backfill);
+            self.wide -= first - short;
+            if short == 0 && first < may {
+                self.cut.push((met, first, backfill));
+            }
+            // What was not looked for does not lack room.
+            return if short > 0 { may - first + short } else { 0 };
+        }
         if spec.kind == Kind::Gang {
+            let shape = &item.shape;
+            let ratio = self.ratio(spec.tasks, &shape.need);
             if may < n {
                 return 0;
             }
@@ -519,6 +544,40 @@
             }
             return 0;
         }
+        self.spread(item, &item.tasks[..may as usize], backfill)
+    }
+
+    /// Goes on with wide arrays once all others have been met.
+    fn widen(&mut self, near: &[Item<'a>]) {
+        for (met, first, backfill) in std::mem::take(&mut self.cut) {
+            if self.full() {
+                return;
+            }
+            let made;
+            let item = match met {
+                Met::Near(n) => &near[n],
+                Met::Far(brief) => match self.far.item(brief) {
+                    Some(item) => {
+                        made = item;
+                        &made
+                    }
+                    None => continue,
+                },
+            };
+            let rest = &item.tasks[first as usize..];
+            let may = self.room.slots(item.team, &item.shape.need);
+            let left = (PLACES - self.plan.places.len()) as u32;
+            let n = may.min(left).min(rest.len() as u32);
+            self.spread(item, &rest[..n as usize], backfill);
+        }
+    }
+
+    /// Starts tasks one by one; returns how many found no room.
+    fn spread(&mut self, item: &Item<'_>, tasks: &[u32], backfill: bool) -> u32 {
+        let spec = item.spec;
+        let shape = &item.shape;
+        let ratio = self.ratio(spec.tasks, &shape.need);
+        let may = tasks.len() as u32;
         let service = spec.kind == Kind::Service;
         let mut zones: Vec<u32> = item.present.iter().map(|(z, _)| *z).collect();
         let half = spec.tasks.div_ceil(2) as usize;
@@ -527,7 +586,7 @@
         let all = all.into_iter();
         let mut picker = Picker::new(self.rooms, all, item.id, shape, ratio, service, has);
         let mut clearing = None;
-        for (k, task) in item.tasks.iter().take(may as usize).enumerate() {
+        for (k, task) in tasks.iter().enumerate() {
             let fits = |zone: u32| {
                 (!spec.one_zone || zones.iter().all(|z| *z == zone))
                     && (!spec.spread || zones.iter().filter(|z| **z == zone).count() < half)
@@ -820,6 +879,10 @@
     }
 
     fn run(item: Item<'_>, hosts: &[Host], victims: &[Victim<'_>]) -> Plan<'static> {
+        run_all(&[item], hosts, victims)
+    }
+
+    fn run_all(items: &[Item<'_>], hosts: &[Host], victims: &[Victim<'_>]) -> Plan<'static> {
         let backlog = Backlog::default();
         let scene = Scene {
             backlog: &backlog,
@@ -832,7 +895,7 @@
         let far = Far::new(&scene, [].into_iter());
         let mut rooms = Rooms::new(hosts.to_vec());
         let mut room = TeamRoom::default();
-        let mut plan = pass(&[item], &far, &mut rooms, victims, &mut room, 1.0);
+        let mut plan = pass(items, &far, &mut rooms, victims, &mut room, 1.0);
         let lacks = plan.lacks.drain(..).map(|l| Lack {
             of: Met::Near(0),
             tasks: l.tasks,
@@ -875,6 +938,26 @@
         }
     }
 
+    /// Fails if a job of many thousand short tasks takes every pass whole, as one did for minutes
+    /// (inc-fb2d), or if half a pass is left unused where nobody else waits.
+    #[test]
+    fn a_very_wide_array_leaves_half_of_a_pass_to_those_behind_it() {
+        let array = Spec::sample(Kind::Array);
+        let of = |id: &'static str, tasks: u32| Item {
+            id,
+            tasks: (0..tasks).collect(),
+            ..item(&array, 1.0)
+        };
+        let fleet: Vec<Host> = (0..60).map(|_| host(4.0, &[])).collect();
+        let count = |p: &Plan<'_>, id: &str| p.places.iter().filter(|x| x.job == id).count();
+        let queue = [of("req-1", 128), of("req-2", 128), of("req-3", 20)];
+        let plan = run_all(&queue, &fleet, &[]);
+        assert_eq!(count(&plan, "req-3"), 20);
+        assert_eq!(count(&plan, "req-1") + count(&plan, "req-2"), 108);
+        let plan = run_all(&queue[..1], &fleet, &[]);
+        assert_eq!(count(&plan, "req-1"), 128);
+    }
+
     /// Fails if what a team is owed comes back machine by machine, or if a machine that the job's own tasks
     /// have filled counts as room that is still being made.
     #[test]
--- a/src/coordination/survey.rs
+++ b/src/coordination/survey.rs
@@ -3,7 +3,7 @@
 
 use super::backlog::{Row, Slot, Stand};
 use super::far::Scene;
-use super::leader::{FRESH_REPORTS, Leader, grace, sick};
+use super::leader::{FRESH_REPORTS, Leader, grace};
 use super::node::Clock;
 use super::placement::{Amounts, Host, Names, add, size};
 use super::policy::Policy;
@@ -158,7 +158,7 @@
             && now < w.heard + fresh
             && w.notice.is_none()
             && !l.fleet.leaving(name)
-            && !sick(w, policy)
+            && !l.sick(w, policy)
             && !l.suspect(w, now);
         let total = [t.cpus, t.gpus, t.memory_gb];
         let reserved = l.reserved.get(name).filter(|(_, until)| *until > now);
@@ -398,7 +398,14 @@
         }
         let taken =
             |t: u32| kept.binary_search(&t).is_ok() || placing(t) || l.edits.finishing(id, t);
-        let tasks = startable(job, taken);
+        let mut tasks = startable(job, taken);
+        if spec.kind == Kind::Array
+            && trouble.is_some_and(|t| t.jobs_fault() && !(runs && t.quiet(now)))
+        {
+            // One task shows whether the job still fails; a hundred would cost a hundred places, and as many
+            // changes of the store.
+            tasks.truncate(usize::from(present.is_empty()));
+        }
         if tasks.is_empty() {
             return None;
         }
--- a/tests/passes.rs
+++ b/tests/passes.rs
@@ -123,6 +123,7 @@
             kind,
             priority: priorities[rng.random_range(0..4)],
             tasks: match kind {
+                Kind::Array if rng.random_bool(0.1) => rng.random_range(128..400),
                 Kind::Array => rng.random_range(1..70),
                 _ => rng.random_range(1..9),
             },
@@ -279,7 +280,7 @@
             7 => {
                 let trouble = Trouble {
                     machines: BTreeMap::from([(machine, now)]),
-                    row: 1,
+                    row: self.rng.random_range(1..5),
                     again: Micros::millis(self.rng.random_range(999_000..1_002_000)),
                 };
                 self.leader.troubles.insert(id, trouble);
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use walnuttrestle::bookkeeping::mirror::{Job, Mirror};
 use walnuttrestle::bookkeeping::workers::Standing;
-use walnuttrestle::coordination::leader::{FRESH_REPORTS, Leader, Trouble, grace, sick};
+use walnuttrestle::coordination::leader::{FRESH_REPORTS, Leader, Trouble, grace};
 use walnuttrestle::coordination::node::Clock;
 use walnuttrestle::coordination::pass::Start;
 use walnuttrestle::coordination::pipeline::Lifted;
@@ -61,6 +61,9 @@
     stops: Vec<(String, u32)>,
     reserved: Vec<(usize, String)>,
     lacks: Vec<(String, u32)>,
+    /// What wide arrays may still take before all others have been met, and which of them were cut short.
+    wide: u32,
+    cut: Vec<(String, u32, f64, bool)>,
 }
 
 /// One pass.
@@ -178,7 +181,7 @@
             && now < w.heard + fresh
             && w.notice.is_none()
             && !l.fleet.leaving(name)
-            && !sick(w, policy)
+            && !l.sick(w, policy)
             && !l.suspect(w, now);
         let total = [t.cpus, t.gpus, t.memory_gb];
         hosts.index.insert(name.clone(), hosts.list.len());
@@ -374,7 +377,11 @@
     if (spec.one_zone || spec.spread) && unknown_zone {
         return None;
     }
-    let tasks = startable(l, id, job, PLACES);
+    let mut tasks = startable(l, id, job, PLACES);
+    let fails = |t: &Trouble| t.jobs_fault() && !(runs && t.quiet(now));
+    if spec.kind == Kind::Array && trouble.is_some_and(fails) {
+        tasks.truncate(usize::from(present.is_empty()));
+    }
     if tasks.is_empty() {
         return None;
     }
@@ -525,7 +532,10 @@
     b_max: f64,
     most: usize,
 ) -> Plan {
-    let mut plan = Plan::default();
+    let mut plan = Plan {
+        wide: PLACES as u32 / 2,
+        ..Plan::default()
+    };
     let mut blocked = false;
     let mut later: Vec<&Item<'_>> = Vec::new();
     let typical = hosts.first().map_or([1.0; 3], |h| h.total);
@@ -567,6 +577,16 @@
             }
         }
     }
+    for (id, first, ratio, backfill) in std::mem::take(&mut plan.cut) {
+        let Some(item) = items.iter().find(|i| i.id == id) else {
+            continue;
+        };
+        let left = most.saturating_sub(plan.places.len());
+        let rest = &item.tasks[first as usize..];
+        let n = (team_slots(room, item.spec) as usize).min(left);
+        let rest = &rest[..n.min(rest.len())];
+        spread(item, rest, hosts, room, ratio, backfill, victims, &mut plan);
+    }
     plan
 }
 
@@ -599,6 +619,34 @@
         }
         return 0;
     }
+    let wide = spec.kind == Kind::Array && !spec.one_zone && !spec.spread;
+    if wide && n as usize >= PLACES {
+        let first = may.min(plan.wide);
+        let tasks = &item.tasks[..first as usize];
+        let short = spread(item, tasks, hosts, room, ratio, backfill, victims, plan);
+        plan.wide -= first - short;
+        if short == 0 && first < may {
+            plan.cut.push((item.id.to_string(), first, ratio, backfill));
+        }
+        return if short > 0 { may - first + short } else { 0 };
+    }
+    let tasks = &item.tasks[..may as usize];
+    spread(item, tasks, hosts, room, ratio, backfill, victims, plan)
+}
+
+/// Starts tasks one by one; returns how many found no room.
+#[allow(clippy::too_many_arguments)]
+fn spread(
+    item: &Item<'_>,
+    tasks: &[u32],
+    hosts: &mut [Host],
+    room: &mut Room,
+    ratio: f64,
+    backfill: bool,
+    victims: &[Victim<'_>],
+    plan: &mut Plan,
+) -> u32 {
+    let spec = item.spec;
     let service = spec.kind == Kind::Service;
     let mut zones: Vec<u32> = item.present.iter().map(|(z, _)| *z).collect();
     let half = spec.tasks.div_ceil(2) as usize;
@@ -613,13 +661,13 @@
         has,
     );
     let mut clearing = None;
-    for (k, task) in item.tasks.iter().take(may as usize).enumerate() {
+    for (k, task) in tasks.iter().enumerate() {
         let fits = |zone: u32| {
             (!spec.one_zone || zones.iter().all(|z| *z == zone))
                 && (!spec.spread || zones.iter().filter(|z| **z == zone).count() < half)
         };
         let Some(host) = picker.next(hosts, fits) else {
-            return may - k as u32;
+            return (tasks.len() - k) as u32;
         };
         if service && !hosts[host].has(item.shape.image) {
             let cleared = |h: &&Host| {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1442,6 +1442,11 @@
             .unwrap_or_default()
     }
 
+    /// How many tasks have failed, on whatever machine.
+    pub fn failures(&self) -> u32 {
+        self.workers.values().map(|w| w.failed).sum()
+    }
+
     pub fn job_done(&self, id: &str) -> bool {
         self.jobs[id].told_done.is_some()
     }
