--- /dev/null
+++ b/tests/world/balancer.rs
@@ -0,0 +1,206 @@
+//! The load balancer between users and controllers, and users who ask through it, as PROTOCOL describes both.
+
+use super::*;
+use std::collections::VecDeque;
+
+const PROBE: u64 = SEC;
+const PAUSE: u64 = 3 * SEC;
+const MOST_PAUSE: u64 = 60 * SEC;
+const RAMP: u64 = 10 * SEC;
+/// Users wait this long for the answer to a poll, and for others.
+const PATIENCE: u64 = 2 * SEC;
+const SUBMIT_PATIENCE: u64 = 5 * SEC;
+/// A job is forgotten if no question about it is answered for this long once all troubles are over.
+const FORGOTTEN: u64 = 75 * SEC;
+
+/// What the load balancer thinks of a controller.
+#[derive(Default)]
+struct Seen {
+    healthy: bool,
+    ever: bool,
+    last: VecDeque<bool>,
+    removals: Vec<u64>,
+    not_before: u64,
+    since: u64,
+    /// Connections that failed in a row.
+    failed: u32,
+    passed_over: u64,
+}
+
+/// A user with one job and one connection.
+#[derive(Default)]
+struct Line {
+    node: Option<usize>,
+    asked: u64,
+    answered: u64,
+    over: bool,
+}
+
+#[derive(Default)]
+pub struct Balancer {
+    nodes: Vec<Seen>,
+    lines: BTreeMap<String, Line>,
+    /// Since when all troubles are over.
+    calm: Option<u64>,
+}
+
+impl World {
+    /// Users come through a load balancer from now on.
+    pub fn balance(&mut self) {
+        let n = self.nodes();
+        self.balancer.nodes = (0..n).map(|_| Seen::default()).collect();
+        self.probe();
+    }
+
+    /// All troubles are over from now on.
+    pub fn calm(&mut self) {
+        self.balancer.calm = Some(self.now);
+    }
+
+    fn probe(&mut self) {
+        for i in 0..self.nodes() {
+            let well = self.healthy(i) == 200;
+            let now = self.now;
+            let s = &mut self.balancer.nodes[i];
+            s.last.push_back(well);
+            if s.last.len() > 6 {
+                s.last.pop_front();
+            }
+            let newest =
+                |n: usize, is: bool| s.last.iter().rev().take(n).filter(|w| **w == is).count();
+            let bad = newest(2, false) == 2 || newest(6, false) >= 3;
+            let good = newest(2, true) == 2 || (!s.ever && well);
+            if s.healthy && bad {
+                s.healthy = false;
+                s.since = now;
+                s.removals.retain(|t| now < t + 120 * SEC);
+                s.not_before = now + (PAUSE << s.removals.len().min(5)).min(MOST_PAUSE);
+                s.removals.push(now);
+            } else if !s.healthy && good && now >= s.not_before {
+                s.healthy = true;
+                s.ever = true;
+                s.since = now;
+                s.last.clear();
+            }
+            if !s.healthy && now >= s.since + 5 * SEC {
+                self.reset(i);
+            }
+        }
+        self.check_known();
+        self.after(PROBE, World::probe);
+    }
+
+    /// Connections to a controller are gone.
+    pub(super) fn reset(&mut self, i: usize) {
+        for l in self.balancer.lines.values_mut() {
+            if l.node == Some(i) {
+                l.node = None;
+            }
+        }
+    }
+
+    /// A new connection: of the healthy ones that with the fewest users; up to three are tried.
+    fn connect(&mut self) -> Option<usize> {
+        let now = self.now;
+        let mut order: Vec<usize> = (0..self.nodes()).collect();
+        let count = |b: &Balancer, i: usize| {
+            let all = b.lines.values();
+            all.filter(|l| l.node == Some(i)).count()
+        };
+        order.sort_by_key(|i| count(&self.balancer, *i));
+        for i in order {
+            let s = &self.balancer.nodes[i];
+            let share = (now - s.since) as f64 / RAMP as f64;
+            if !s.healthy || now < s.passed_over || !self.rng.random_bool(share.clamp(0.1, 1.0)) {
+                continue;
+            }
+            let up = self.node(i).is_some();
+            let s = &mut self.balancer.nodes[i];
+            if up {
+                s.failed = 0;
+                return Some(i);
+            }
+            s.failed += 1;
+            if s.failed >= 3 {
+                s.failed = 0;
+                s.passed_over = now + 3 * SEC;
+            }
+        }
+        None
+    }
+
+    /// A user who submits a job, and then asks about it every five seconds, through the load balancer.
+    pub fn caller(&mut self, id: &str, spec: Spec, run: u64) {
+        self.declare(id, spec, run);
+        self.balancer.lines.insert(id.into(), Line::default());
+        self.ask(id.to_string());
+    }
+
+    fn ask(&mut self, id: String) {
+        let t = &self.jobs[&id];
+        let accepted = t.accepted;
+        let over = t.told_done.is_some() || t.told_cancelled.is_some() || t.asked_cancel;
+        let line = self.balancer.lines.get_mut(&id).expect("a caller");
+        line.over = over;
+        if over {
+            return;
+        }
+        let node = match line.node {
+            Some(n) => Some(n),
+            None => self.connect(),
+        };
+        let now = self.now;
+        if let Some(line) = self.balancer.lines.get_mut(&id) {
+            line.node = node;
+            line.asked = now;
+        }
+        let patience = match (node, accepted) {
+            (Some(n), true) => {
+                self.poll(n, &id);
+                PATIENCE
+            }
+            (Some(n), false) => {
+                self.submit_once(n, &id);
+                SUBMIT_PATIENCE
+            }
+            (None, _) => PATIENCE,
+        };
+        let of = id.clone();
+        self.after(patience, move |w| {
+            if let Some(l) = w.balancer.lines.get_mut(&of)
+                && l.answered < l.asked
+            {
+                // No answer in time: the connection is given up.
+                l.node = None;
+            }
+        });
+        let again = if accepted { 5 * SEC } else { patience + SEC };
+        self.after(again, move |w| w.ask(id));
+    }
+
+    /// A user was answered; `known`: with the state of the job.
+    pub(super) fn line_heard(&mut self, id: &str, known: bool) {
+        let now = self.now;
+        if let Some(l) = self.balancer.lines.get_mut(id) {
+            l.answered = now;
+            if known {
+                self.balancer_known.insert(id.to_string(), now);
+            }
+        }
+    }
+
+    fn check_known(&mut self) {
+        let Some(calm) = self.balancer.calm else {
+            return;
+        };
+        let now = self.now;
+        let lost = self.balancer.lines.iter().find(|(id, l)| {
+            let heard = self.balancer_known.get(*id).copied().unwrap_or(0).max(calm);
+            !l.over && self.jobs[*id].accepted && now > heard + FORGOTTEN
+        });
+        if let Some((id, _)) = lost {
+            let id = id.clone();
+            self.broken("forgotten", format!("{id}: no question answered for 75 s"));
+        }
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 mod asks;
+mod balancer;
 mod check;
 mod machines;
 mod net;
@@ -64,6 +65,9 @@
     wake: u64,
     /// Runs the first version.
     old: bool,
+    /// Stands still until then; what comes meanwhile waits.
+    frozen: u64,
+    held: Vec<NetEvent>,
 }
 
 /// How a cut treats what is sent across it.
@@ -159,6 +163,9 @@
     /// Final states that users were told, and when.
     told_final: BTreeMap<String, (String, u64)>,
     pub on_break: Option<String>,
+    balancer: balancer::Balancer,
+    /// When a user was last told the state of a job.
+    balancer_known: BTreeMap<String, u64>,
     /// How long a lease lasts, in seconds.
     pub lease_s: u64,
     /// The last answer to a health check.
@@ -312,6 +319,8 @@
             limits: BTreeMap::from([("red".to_string(), 12.0)]),
             told_final: BTreeMap::new(),
             on_break: None,
+            balancer: Default::default(),
+            balancer_known: BTreeMap::new(),
             lease_s: LEASE_S,
             health: 0,
             troubles: Troubles::default(),
@@ -322,6 +331,8 @@
                 run: 0,
                 wake: 0,
                 old: false,
+                frozen: 0,
+                held: Vec::new(),
             });
             w.boot(i);
         }
@@ -413,8 +424,17 @@
         self.nodes[i].old = old;
     }
 
+    /// A controller stands still while its clocks run on.
+    pub fn freeze(&mut self, i: usize, dt: u64) {
+        self.nodes[i].frozen = self.now + dt;
+        self.after(dt + 1, move |w| w.deliver(i, Vec::new()));
+    }
+
     pub fn crash(&mut self, i: usize, back: u64) {
         self.nodes[i].node = None;
+        self.nodes[i].frozen = 0;
+        self.nodes[i].held.clear();
+        self.reset(i);
         self.conns.retain(|(n, _), p| match p {
             Pending::Report(..) => *n != i,
             _ => *n != i,
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -40,6 +40,13 @@
     pub(super) fn deliver(&mut self, i: usize, events: Vec<NetEvent>) {
         let clock = self.clock();
         let old = self.nodes[i].old;
+        if self.nodes[i].frozen > self.now {
+            self.nodes[i].held.extend(events);
+            return;
+        }
+        let mut all = std::mem::take(&mut self.nodes[i].held);
+        all.extend(events);
+        let events = all;
         let Some(node) = self.nodes[i].node.as_mut() else {
             return;
         };
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -152,6 +152,7 @@
         self.said
             .push((self.now, id.clone(), status, state.clone()));
         let now = self.now;
+        self.line_heard(&id, matches!(status, 200 | 201));
         let Some(t) = self.jobs.get_mut(&id) else {
             if status == 200 {
                 self.broken("invented", id);
