--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -176,7 +176,7 @@
 const WIDE_PLACES: u32 = PLACES as u32 / 2;
 
 /// With what they take afterwards a pass places no more than this.
-const WIDE_MOST: usize = 2 * PLACES;
+pub const WIDE_MOST: usize = 2 * PLACES;
 
 /// Room is looked for on behalf of this many blocked jobs a pass, first come first: the work of a
 /// pass must not grow with the length of the queue times the size of the fleet.
@@ -677,7 +677,7 @@
     if gang {
         row.left
     } else {
-        row.left.min(PLACES as u32)
+        row.left.min(WIDE_MOST as u32)
     }
 }
 
--- a/src/coordination/survey.rs
+++ b/src/coordination/survey.rs
@@ -7,7 +7,7 @@
 use super::node::Clock;
 use super::placement::{Amounts, Host, Names, add, size};
 use super::policy::Policy;
-use super::queue::{Item, PLACES, TeamRoom, Victim};
+use super::queue::{Item, TeamRoom, Victim, WIDE_MOST};
 use super::recovery::Lost;
 use crate::bookkeeping::mirror::{Job, Mirror};
 use crate::bookkeeping::workers::{Standing, Worker};
@@ -451,7 +451,7 @@
     let spec = &job.rec.spec;
     let most = match spec.kind {
         Kind::Gang => spec.tasks as usize,
-        _ => PLACES,
+        _ => WIDE_MOST,
     };
     let mut tasks = Vec::new();
     for c in 0..spec.tasks.div_ceil(CHUNK) {
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -378,7 +378,7 @@
     if (spec.one_zone || spec.spread) && unknown_zone {
         return None;
     }
-    let mut tasks = startable(l, id, job, PLACES);
+    let mut tasks = startable(l, id, job, 2 * PLACES);
     let fails = |t: &Trouble| t.jobs_fault() && !(runs && t.quiet(now));
     if spec.kind == Kind::Array && trouble.is_some_and(fails) {
         tasks.truncate(usize::from(present.is_empty()));
