--- a/src/coordination/backlog.rs
+++ b/src/coordination/backlog.rs
@@ -458,11 +458,6 @@
 pub struct Within(HashMap<u32, Option<Arrival>>);
 
 impl Within {
-    /// Whether it reaches any job.
-    pub fn reaches(&self) -> bool {
-        self.0.values().any(Option::is_some)
-    }
-
     /// Whether a job fits into its team's guarantee.
     pub fn covers(&self, team: u32, at: Micros, id: &str) -> bool {
         match self.0.get(&team) {
--- a/src/coordination/far.rs
+++ b/src/coordination/far.rs
@@ -108,11 +108,6 @@
         !self.near[b.slot as usize]
     }
 
-    /// Whether any team has a guarantee that reaches a job.
-    pub fn owes(&self) -> bool {
-        self.scene.within.reaches()
-    }
-
     /// How many there are.
     pub fn count(&self) -> usize {
         self.count
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -182,10 +182,6 @@
 /// pass must not grow with the length of the queue times the size of the fleet.
 const MAKE_WAY: usize = 8;
 
-/// So many of the machines that are open are left empty by arrays beyond their team's guarantee, where
-/// others are owed something: whoever is owed a whole machine need not wait for tasks to save and stop.
-const LEFT_EMPTY: f64 = 0.06;
-
 /// Room is made on this many machines at once for tasks that start one by one.
 const MACHINES_AT_ONCE: usize = 16;
 
@@ -261,8 +257,6 @@
     vain: Vec<Vain>,
     /// Claims to which nothing gives way.
     hopeless: Vec<Claim>,
-    /// Empty machines that those who are owed nothing may still take.
-    empties: usize,
     /// What wide arrays may still take before all others have been met.
     wide: u32,
     /// Wide arrays of which more could be started, and whether it would be backfilled.
@@ -280,12 +274,6 @@
     room: &mut TeamRoom,
     b_max: f64,
 ) -> Plan<'a> {
-    let open = rooms.iter().filter(|h| h.open);
-    let left = match far.owes() {
-        true => (open.clone().count() as f64 * LEFT_EMPTY).ceil() as usize,
-        false => 0,
-    };
-    let empties = open.filter(|h| h.empty()).count().saturating_sub(left);
     let mut p = Pass {
         far,
         typical: rooms.first().map_or([1.0; 3], |h| h.total),
@@ -297,7 +285,6 @@
         tries: MAKE_WAY,
         vain: vec![Vain::default(); far.reaches()],
         hopeless: Vec::new(),
-        empties,
         wide: WIDE_PLACES,
         cut: Vec::new(),
         plan: Plan::default(),
@@ -639,20 +626,14 @@
         let all = all.into_iter();
         let mut picker = Picker::new(self.rooms, all, item.id, shape, ratio, service, has);
         let mut clearing = None;
-        let owes = self.far.owes() && !item.guaranteed && spec.kind == Kind::Array;
         for (k, task) in tasks.iter().enumerate() {
             let fits = |zone: u32| {
                 (!spec.one_zone || zones.iter().all(|z| *z == zone))
                     && (!spec.spread || zones.iter().filter(|z| **z == zone).count() < half)
             };
-            let mut found = picker.next(self.rooms, fits);
-            while owes && self.empties == 0 && found.is_some_and(|h| self.rooms[h].empty()) {
-                found = picker.next(self.rooms, fits);
-            }
-            let Some(host) = found else {
+            let Some(host) = picker.next(self.rooms, fits) else {
                 return may - k as u32;
             };
-            self.empties -= usize::from(self.empties > 0 && self.rooms[host].empty());
             if service && !self.rooms[host].has(shape.image) {
                 // Not one that the job's own tasks have filled.
                 let cleared = |h: &&Host| {
