--- /dev/null
+++ b/tests/every_copy.rs
@@ -0,0 +1,314 @@
+//! Every state of a small model of sessions, message numbers, copies that come again and a takeover: one worker,
+//! one task, two leaders, the view of the worker being the real one. A task that was given up as gone never comes
+//! to run there again. Each line that is taken out is missed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use walnuttrestle::bookkeeping::workers::{Standing, Start, Worker};
+use walnuttrestle::protocol::Micros;
+use walnuttrestle::protocol::wire::{Phase, Report, TaskReport, Why};
+use walnuttrestle_explore::{Model, Seen, explore};
+
+/// How often the worker says something: its messages are all that makes the model large.
+const MOST: u64 = 6;
+
+/// What a worker says: session, number, highest term, and the attempt if it is there (true: it has ended).
+type Said = (u64, u64, u64, Option<bool>);
+
+/// A start that was sent: term and session it was sent with.
+type Sent = (u64, u64);
+
+/// A start as the leader remembers it: awaits an answer, answered, loose, and its term.
+type Known = (bool, bool, bool, u64);
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct State {
+    session: u64,
+    seq: u64,
+    term: u64,
+    task: Option<bool>,
+    /// All that was ever said or sent may come (again) at any time.
+    said: BTreeSet<Said>,
+    sent: BTreeSet<Sent>,
+    leader: u64,
+    view: Option<(Said, Option<Known>)>,
+    /// The attempt is on record there, or has been given up and is started elsewhere.
+    given_up: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+#[allow(dead_code)]
+enum Step {
+    Reports,
+    Hears(Said),
+    ShowsTerm,
+    Starts,
+    CarriesOut(Sent, bool),
+    NoAnswer,
+    Ends,
+    NewSession,
+    Takeover,
+    GivesUp,
+    Forgets,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Line {
+    /// (session, tally) orders what a worker sends.
+    Order,
+    /// A worker that has not shown our term proves nothing absent.
+    Term,
+    /// A start without an answer may come late.
+    Loose,
+    /// An attempt that ended is kept until fenced, though its start was answered.
+    Kept,
+}
+
+struct Small {
+    without: Option<Line>,
+    /// How much the worker says.
+    most: u64,
+}
+
+fn report((session, seq, term, task): Said) -> Report {
+    let tasks = task.map(|ended| TaskReport {
+        task: "j/0".into(),
+        attempt: 1,
+        phase: if ended { Phase::Exited } else { Phase::Running },
+        why: ended.then_some(Why::Stopped),
+        saved: None,
+    });
+    Report {
+        machine: "n-1".into(),
+        address: "127.0.0.1:9".into(),
+        kind: "box".into(),
+        zone: "a".into(),
+        spot: false,
+        session,
+        seq,
+        term,
+        notice_s: None,
+        tasks: tasks.into_iter().collect(),
+    }
+}
+
+/// The real view of what was said last, with the start that is remembered.
+fn worker((said, known): &(Said, Option<Known>)) -> Worker {
+    let r = report(*said);
+    let mut w = Worker::new(&r);
+    w.update(&r, Micros::ZERO);
+    if let Some((direct, answered, loose, term)) = *known {
+        let start = Start {
+            direct,
+            answered,
+            loose,
+            term,
+            answer_to: None,
+        };
+        w.starts.insert(("j".into(), 0, 1), start);
+    }
+    w
+}
+
+impl Small {
+    fn without(&self, line: Line) -> bool {
+        self.without == Some(line)
+    }
+
+    fn standing(&self, s: &State) -> Standing {
+        let Some(view) = &s.view else {
+            return Standing::Unclear;
+        };
+        let w = worker(view);
+        let ours = if self.without(Line::Term) {
+            w.term
+        } else {
+            s.leader
+        };
+        w.standing(ours, "j", 0, 1, 1)
+    }
+
+    /// The leader takes in what was said.
+    fn hears(&self, s: &mut State, said: Said) {
+        let Some(view) = &s.view else {
+            s.view = Some((said, None));
+            return;
+        };
+        let mut w = worker(view);
+        if self.without(Line::Order) {
+            (w.session, w.seq) = (said.0, 0);
+        }
+        w.update(&report(said), Micros::ZERO);
+        if (w.session, w.seq) == (said.0, said.1) {
+            let known = w.starts.values().next();
+            let known = known.map(|k| (k.direct, k.answered, k.loose, k.term));
+            s.view = Some((said, known));
+        }
+    }
+
+    fn say(&self, s: &mut State) -> Said {
+        s.seq += 1;
+        let said = (s.session, s.seq, s.term, s.task);
+        s.said.insert(said);
+        said
+    }
+}
+
+impl Model for Small {
+    type State = State;
+    type Step = Step;
+
+    fn start(&self) -> Vec<State> {
+        vec![State {
+            session: 1,
+            seq: 0,
+            term: 1,
+            task: None,
+            said: BTreeSet::new(),
+            sent: BTreeSet::new(),
+            leader: 1,
+            view: None,
+            given_up: false,
+        }]
+    }
+
+    fn steps(&self, s: &State) -> Vec<(Step, State)> {
+        let mut all = Vec::new();
+        let mut add = |step: Step, change: &dyn Fn(&mut State)| {
+            let mut next = s.clone();
+            change(&mut next);
+            all.push((step, next));
+        };
+        let may_say = s.seq < self.most;
+        if may_say {
+            add(Step::Reports, &|n| _ = self.say(n));
+        }
+        for said in &s.said {
+            add(Step::Hears(*said), &|n| self.hears(n, *said));
+        }
+        if s.task == Some(false) {
+            add(Step::Ends, &|n| n.task = Some(true));
+        }
+        if s.session == 1 {
+            add(Step::NewSession, &|n| (n.session, n.task) = (2, None));
+        }
+        if s.leader == 1 {
+            add(Step::Takeover, &|n| (n.leader, n.view) = (2, None));
+        }
+        for sent in &s.sent {
+            let taken = sent.0 >= s.term && sent.1 == s.session;
+            let carry = |n: &mut State| {
+                if taken {
+                    n.term = sent.0;
+                    n.task = n.task.or(Some(false));
+                }
+            };
+            add(Step::CarriesOut(*sent, false), &carry);
+            let awaited = |k: &Known| k.0 && k.3 == sent.0 && sent.0 == s.leader;
+            let known = s.view.as_ref().and_then(|v| v.1);
+            if known.as_ref().is_some_and(awaited) && may_say {
+                add(Step::CarriesOut(*sent, true), &|n| {
+                    carry(n);
+                    if let Some((_, known)) = &mut n.view {
+                        *known = match (*known, taken) {
+                            (Some((_, _, loose, t)), true) => Some((false, true, loose, t)),
+                            (Some((_, true, loose, t)), _) => Some((false, true, loose, t)),
+                            (Some((_, _, true, t)), _) => Some((false, false, true, t)),
+                            _ => None,
+                        };
+                    }
+                    let said = self.say(n);
+                    self.hears(n, said);
+                });
+            }
+        }
+        let Some(view) = &s.view else {
+            return all;
+        };
+        let (said, known) = view;
+        let standing = self.standing(s);
+        if said.2 != s.leader && may_say && said.0 == s.session {
+            add(Step::ShowsTerm, &|n| {
+                n.term = n.term.max(n.leader);
+                _ = self.say(n);
+            });
+        }
+        let waits = known.is_some_and(|k| k.0);
+        let unsure = matches!(standing, Standing::NotStarted | Standing::Unclear);
+        if said.2 == s.leader && said.0 == 1 && unsure && !s.given_up && !waits {
+            add(Step::Starts, &|n| {
+                n.sent.insert((n.leader, 1));
+                if let Some((_, known)) = &mut n.view {
+                    let before = known.filter(|k| k.3 == n.leader);
+                    let (answered, loose) = before.map_or((false, false), |k| (k.1, k.2));
+                    *known = Some((true, answered, loose, n.leader));
+                }
+            });
+        }
+        if waits {
+            add(Step::NoAnswer, &|n| {
+                if let Some((_, Some(k))) = &mut n.view {
+                    (k.0, k.2) = (false, true);
+                    if self.without(Line::Loose) {
+                        (k.1, k.2) = (true, false);
+                    }
+                }
+            });
+        }
+        // One that nobody has started is given up with its job, or with its gang.
+        let gone = matches!(
+            standing,
+            Standing::Gone | Standing::Ended(_) | Standing::NotStarted
+        );
+        if !s.given_up && gone {
+            add(Step::GivesUp, &|n| n.given_up = true);
+        }
+        let w = worker(view);
+        let kept = w.tasks.first().is_none_or(|t| {
+            let loose = w.has_loose(&t.job, t.task, t.attempt);
+            match self.without(Line::Kept) {
+                true => loose,
+                false => w.may_start_again(t),
+            }
+        });
+        let ended = said.3 == Some(true) && s.task == Some(true) && said.2 == s.leader;
+        if s.given_up && ended && said.0 == s.session && !kept {
+            add(Step::Forgets, &|n| n.task = None);
+        }
+        all
+    }
+
+    fn broken(&self, s: &State) -> Option<String> {
+        let runs = s.given_up && s.task == Some(false);
+        runs.then(|| "given up, started elsewhere, and running here".to_string())
+    }
+}
+
+#[test]
+fn what_was_given_up_as_gone_never_runs_there_again() {
+    let all = explore(
+        &Small {
+            without: None,
+            most: MOST,
+        },
+        2_000_000,
+    );
+    assert!(
+        matches!(all, Seen::All { states, .. } if states > 10_000),
+        "{}",
+        all.story()
+    );
+}
+
+#[test]
+fn each_line_that_is_taken_out_is_missed() {
+    let mut stories = BTreeMap::new();
+    for line in [Line::Order, Line::Term, Line::Loose, Line::Kept] {
+        let small = Small {
+            without: Some(line),
+            most: MOST,
+        };
+        let seen = explore(&small, 2_000_000);
+        stories.insert(format!("{line:?}"), matches!(seen, Seen::Broken { .. }));
+    }
+    assert!(stories.values().all(|missed| *missed), "{stories:?}");
+}
