Who has waited for two minutes comes before shorter jobs; wide arrays block as before

Change: a wide array that lacks room blocks again; behind a blocked job, who has waited for 120 s comes first, by arrival, and the first gang of those may stop backfilled tasks.

--- a/src/coordination/far.rs
+++ b/src/coordination/far.rs
@@ -5,12 +5,17 @@
 use super::queue::{Item, far_tasks};
 use crate::bookkeeping::mirror::Job;
 use crate::protocol::{Kind, Micros, Priority};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 /// Work within a guarantee that has waited this long, longer than machines usually take to boot, is
 /// given room at the cost of other teams' surplus gangs, too.
 const OVERDUE: Micros = Micros::millis(60_000);
 
+/// Behind a blocked job the shortest come first; who has waited this long comes before them, in order of arrival.
+/// Else the largest of a class wait for as long as shorter ones keep coming.
+const STARVED: Micros = Micros::millis(120_000);
+
 /// A gang that has waited this long does not wait for others to end any more: about as long as a place
 /// takes to become free by itself where tasks are short.
 const AGED: Micros = Micros::millis(20_000);
@@ -48,6 +53,11 @@
         self.wall.since(row.released) > AGED
     }
 
+    /// Whether a job has waited for so long that shorter ones no longer come first.
+    pub fn starved(&self, row: &Row) -> bool {
+        self.wall.since(row.released) > STARVED
+    }
+
     /// An item for a job with these tasks to start; where its others are is to be filled in.
     pub fn item(&self, id: &'a str, job: &'a Job, row: &Row, tasks: Vec<u32>) -> Item<'a> {
         let spec = &job.rec.spec;
@@ -67,6 +77,7 @@
             guaranteed: self.guaranteed(row),
             overdue: self.overdue(row),
             aged: self.aged(row),
+            starved: self.starved(row),
         }
     }
 }
@@ -78,6 +89,34 @@
     (*at, id)
 }
 
+/// The order of backfilling.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Rank<'a> {
+    /// It has waited for very long.
+    pub starved: bool,
+    estimate: f64,
+    /// Place in the queue.
+    pub at: Place<'a>,
+}
+
+/// A job's rank there.
+pub fn rank(starved: bool, estimate: f64, at: Place<'_>) -> Rank<'_> {
+    Rank {
+        starved,
+        estimate: if starved { 0.0 } else { estimate },
+        at,
+    }
+}
+
+impl Rank<'_> {
+    /// Who comes first.
+    pub fn order(&self, o: &Rank<'_>) -> Ordering {
+        let starved = o.starved.cmp(&self.starved);
+        let shorter = starved.then(self.estimate.total_cmp(&o.estimate));
+        shorter.then(self.at.cmp(&o.at))
+    }
+}
+
 /// Those jobs, without the ones that a pass has looked into for other reasons.
 pub struct Far<'a> {
     scene: &'a Scene<'a>,
@@ -125,11 +164,19 @@
         all.filter(|(_, b)| self.far(b)).map(|(a, b)| (place(a), b))
     }
 
-    /// Gangs and arrays, shortest estimate first.
-    pub fn shortest(&self) -> impl Iterator<Item = (f64, Place<'a>, &'a Brief)> + '_ {
+    fn starved(&self, b: &Brief) -> bool {
+        let row = self.scene.backlog.row(b.slot);
+        row.is_some_and(|r| self.scene.starved(r))
+    }
+
+    /// Gangs and arrays in the order in which they are backfilled: those that have waited for very long by
+    /// arrival, then the shortest first.
+    pub fn backfilled(&self) -> impl Iterator<Item = (Rank<'a>, &'a Brief)> + '_ {
+        let starved = self.others().filter(|(_, b)| self.starved(b));
+        let starved = starved.map(|(at, b)| (rank(true, 0.0, at), b));
         let all = self.scene.backlog.shortest();
-        all.filter(|(_, b)| self.far(b))
-            .map(|((e, a), b)| (e.0, place(a), b))
+        let all = all.filter(|(_, b)| self.far(b) && !self.starved(b));
+        starved.chain(all.map(|((e, a), b)| (rank(false, e.0, place(a)), b)))
     }
 
     /// What a job has in common with others.
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -6,7 +6,7 @@
 //! looked for in vain is not looked for again on behalf of the next.
 
 use super::backlog::Brief;
-use super::far::Far;
+use super::far::{Far, Rank, rank};
 use super::placement::{self, Amounts, Host, Picker, Shape, slots};
 use super::recovery::Recovery;
 use super::rooms::{Rooms, Vain};
@@ -47,6 +47,14 @@
     pub overdue: bool,
     /// Has waited so long that a gang takes the place of what cannot save.
     pub aged: bool,
+    /// Has waited so long that shorter jobs no longer come first.
+    pub starved: bool,
+}
+
+impl<'a> Item<'a> {
+    fn rank(&self) -> Rank<'a> {
+        rank(self.starved, self.estimate_s, (self.at, self.id))
+    }
 }
 
 /// A running task that may have to make room.
@@ -363,40 +371,38 @@
             }
         }
         let Some(blocked) = blocked else { return };
-        later.sort_by(|(_, a), (_, b)| a.estimate_s.total_cmp(&b.estimate_s));
+        later.sort_by(|(_, a), (_, b)| a.rank().order(&b.rank()));
         let mut later = later.into_iter().peekable();
-        let mut rows = far.shortest().filter(|(_, at, _)| *at > blocked);
+        let mut rows = far.backfilled().filter(|(r, _)| r.at > blocked);
         let mut row = rows.next();
+        let mut topped = false;
         while !self.full() {
-            let ours = later.peek().map(|(_, i)| (i.estimate_s, i.at, i.id));
-            let theirs = row.map(|(estimate, at, _)| (estimate, at.0, at.1));
-            let near_first = match (ours, theirs) {
+            let ours = later.peek().map(|(_, i)| i.rank());
+            let near_first = match (ours, &row) {
                 (None, None) => break,
                 (Some(_), None) => true,
                 (None, Some(_)) => false,
-                (Some(a), Some(b)) => {
-                    let order = a.0.total_cmp(&b.0);
-                    order.then((a.1, a.2).cmp(&(b.1, b.2))).is_lt()
-                }
+                (Some(a), Some((b, _))) => a.order(b).is_lt(),
             };
-            let (met, at, short) = if near_first {
+            let (met, r, short) = if near_first {
                 let Some((n, item)) = later.next() else { break };
-                (
-                    Met::Near(n),
-                    (item.at, item.id),
-                    self.start(Met::Near(n), item, true),
-                )
+                let met = Met::Near(n);
+                (met, item.rank(), self.start(met, item, true))
             } else {
-                let Some((_, at, brief)) = row else { break };
+                let Some((r, brief)) = row else { break };
                 row = rows.next();
-                (Met::Far(brief), at, self.visit(brief, true))
+                (Met::Far(brief), r, self.visit(brief, true))
             };
             if short > 0 {
                 self.plan.lacks.push(Lack {
                     of: met,
                     tasks: short,
                 });
-                self.press(near, met, at, short, false, true);
+                // Behind a job that never fits as a whole, such as a guest's very wide array, nobody else would
+                // ever be at the top.
+                let top = r.starved && !topped;
+                topped |= r.starved;
+                self.press(near, met, r.at, short, top, true);
             }
         }
     }
@@ -527,7 +533,8 @@
         let n = item.tasks.len() as u32;
         let may = self.room.slots(item.team, &item.shape.need).min(n);
         if spec.kind == Kind::Array && !spec.one_zone && !spec.spread && n >= PLACES as u32 {
-            let first = may.min(self.wide).min(self.share(item));
+            let (free, share) = self.share(item);
+            let first = may.min(self.wide).min(share);
             let short = self.spread(item, &item.tasks[..first as usize], backfill);
             self.wide -= first - short;
             self.cut.push(Cut {
@@ -535,8 +542,7 @@
                 first: first - short,
                 backfill,
             });
-            // Whether the rest lacks room is seen when all others have been met; it blocks nobody.
-            return 0;
+            return may.saturating_sub(free);
         }
         if spec.kind == Kind::Gang {
             let shape = &item.shape;
@@ -565,8 +571,9 @@
     }
 
     /// What a wide array takes of the room that is free before all others have been met: half, or it would take
-    /// each place that falls free ahead of them for as long as it lasts; and one place to begin with.
-    fn share(&self, item: &Item<'_>) -> u32 {
+    /// each place that falls free ahead of them for as long as it lasts; and one place to begin with. Returns that
+    /// after all the room.
+    fn share(&self, item: &Item<'_>) -> (u32, u32) {
         let (need, allow) = (&item.shape.need, &item.shape.allow);
         let may = |h: &&Host| placement::may_take(h, item.id, need, allow);
         let free: u32 = self
@@ -575,7 +582,8 @@
             .filter(may)
             .map(|h| slots(&h.free, need))
             .sum();
-        (free / 2).max(u32::from(item.present.is_empty()).min(free))
+        let half = (free / 2).max(u32::from(item.present.is_empty()).min(free));
+        (free, half)
     }
 
     /// Goes on with wide arrays once all others have been met.
@@ -601,14 +609,7 @@
             let may = self.room.slots(item.team, &item.shape.need);
             let left = WIDE_MOST.saturating_sub(self.plan.places.len()) as u32;
             let n = may.min(left).min(rest.len() as u32);
-            let short = self.spread(item, &rest[..n as usize], backfill);
-            if short > 0 {
-                self.plan.lacks.push(Lack {
-                    of: met,
-                    tasks: short,
-                });
-                self.press(near, met, (item.at, item.id), short, false, true);
-            }
+            self.spread(item, &rest[..n as usize], backfill);
         }
     }
 
@@ -896,6 +897,7 @@
             guaranteed: false,
             overdue: false,
             aged: false,
+            starved: false,
         }
     }
 
--- a/tests/passes.rs
+++ b/tests/passes.rs
@@ -157,7 +157,7 @@
             }
             false => {
                 self.jobs += 1;
-                let at = Micros::millis(9_000_000 - self.rng.random_range(0..100_000));
+                let at = Micros::millis(9_000_000 - self.rng.random_range(0..200_000));
                 (format!("req-{}", self.jobs - 1), self.spec(), at)
             }
         };
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -25,6 +25,7 @@
 
 const PLACES: usize = 128;
 const OVERDUE: Micros = Micros::millis(60_000);
+const STARVED: Micros = Micros::millis(120_000);
 const AGED: Micros = Micros::millis(20_000);
 
 /// What a pass decides, in the words of `pass::Decision`.
@@ -410,6 +411,7 @@
         guaranteed,
         overdue: clock.wall.since(job.released) > OVERDUE,
         aged: clock.wall.since(job.released) > AGED,
+        starved: clock.wall.since(job.released) > STARVED,
     })
 }
 
@@ -564,7 +566,12 @@
         }
         blocked |= item.spec.kind != Kind::Service;
     }
-    later.sort_by(|a, b| a.estimate_s.total_cmp(&b.estimate_s));
+    later.sort_by(|a, b| {
+        let of = |i: &Item<'_>| if i.starved { 0.0 } else { i.estimate_s };
+        let starved = b.starved.cmp(&a.starved);
+        starved.then(of(a).total_cmp(&of(b)))
+    });
+    let mut topped = false;
     for item in later {
         if plan.places.len() >= most {
             break;
@@ -573,8 +580,10 @@
         let short = start(item, hosts, room, ratio, true, victims, &mut plan);
         if short > 0 {
             plan.lacks.push((item.id.to_string(), short));
+            let top = item.starved && !topped;
+            topped |= item.starved;
             if (item.spec.kind == Kind::Gang || item.guaranteed) && tries > 0 {
-                tries -= usize::from(make_way(item, short, hosts, victims, false, &mut plan));
+                tries -= usize::from(make_way(item, short, hosts, victims, top, &mut plan));
             }
         }
     }
@@ -586,13 +595,7 @@
         let rest = &item.tasks[first as usize..];
         let n = (team_slots(room, item.spec) as usize).min(left);
         let rest = &rest[..n.min(rest.len())];
-        let short = spread(item, rest, hosts, room, ratio, backfill, victims, &mut plan);
-        if short > 0 {
-            plan.lacks.push((item.id.to_string(), short));
-            if item.guaranteed && tries > 0 {
-                tries -= usize::from(make_way(item, short, hosts, victims, false, &mut plan));
-            }
-        }
+        spread(item, rest, hosts, room, ratio, backfill, victims, &mut plan);
     }
     plan
 }
@@ -641,7 +644,7 @@
         plan.wide -= first - short;
         let cut = (item.id.to_string(), first - short, ratio, backfill);
         plan.cut.push(cut);
-        return 0;
+        return may.saturating_sub(free);
     }
     let tasks = &item.tasks[..may as usize];
     spread(item, tasks, hosts, room, ratio, backfill, victims, plan)
