--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -400,9 +400,9 @@
                 });
                 // Behind a job that never fits as a whole, such as a guest's very wide array, nobody else would
                 // ever be at the top.
-                let top = r.starved && !topped;
-                topped |= r.starved;
-                self.press(near, met, r.at, short, top, true);
+                let first = r.starved && !topped && !self.singly(near, met);
+                topped |= first;
+                self.press(near, met, r.at, short, first, true);
             }
         }
     }
--- a/tests/known.rs
+++ b/tests/known.rs
@@ -6,14 +6,11 @@
 use rand::RngExt;
 use walnuttrestle::protocol::{Kind, Priority, Spec};
 use world::trouble::Copies;
-use world::{Cut, Party, SEC, World, job};
+use world::{Cut, Party, SEC, World, job, settled};
 
-fn settled(seed: u64, machines: usize) -> World {
-    let _ = env_logger::Builder::from_env(env_logger::Env::default().filter("LOG_LEVEL"))
-        .is_test(true)
-        .try_init();
-    let mut w = World::new(seed, 3, machines);
-    w.run(8);
+/// Users come through a load balancer.
+fn balanced(seed: u64, machines: usize) -> World {
+    let mut w = settled(seed, machines);
     w.balance();
     w.run(3);
     w
@@ -86,7 +83,7 @@
 
 /// Many troubles at once; returns the world when it is calm, with its jobs.
 fn night(seed: u64) -> World {
-    let mut w = settled(seed, 6);
+    let mut w = balanced(seed, 6);
     w.caller("req-1", job(Kind::Service, 4, 1.0), 0);
     w.caller("req-2", job(Kind::Gang, 2, 5.0), 15 * SEC);
     w.caller("req-3", job(Kind::Array, 10, 1.0), 6 * SEC);
@@ -172,7 +169,7 @@
 
 /// Twelve full machines, smaller jobs coming all the time, nothing to rent. How long the large job waits.
 fn waits(seed: u64, small: Small, large: Spec, crash: bool) -> Option<u64> {
-    let mut w = settled(seed, 12);
+    let mut w = balanced(seed, 12);
     w.no_capacity = true;
     let high = |s: Spec| Spec {
         priority: Priority::High,
--- a/tests/nights.rs
+++ b/tests/nights.rs
@@ -6,17 +6,7 @@
 use rand::RngExt;
 use walnuttrestle::protocol::{Kind, Priority, Spec};
 use world::trouble::{Copies, Mute};
-use world::{Cut, LEASE_S, Party, SEC, World, job};
-
-fn settled(seed: u64, machines: usize) -> World {
-    let _ = env_logger::Builder::from_env(env_logger::Env::default().filter("LOG_LEVEL"))
-        .is_test(true)
-        .try_init();
-    let mut w = World::new(seed, 3, machines);
-    w.run(8);
-    assert!(w.leader().is_some(), "nobody leads");
-    w
-}
+use world::{Cut, LEASE_S, Party, SEC, World, job, settled};
 
 /// Fails if a machine is blamed for jobs that fail anywhere: it was emptied and returned once it had met two of
 /// them (inc-944e: 28 sound machines). Fails as well if all tasks of such a job are tried again and again.
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -580,8 +580,8 @@
         let short = start(item, hosts, room, ratio, true, victims, &mut plan);
         if short > 0 {
             plan.lacks.push((item.id.to_string(), short));
-            let top = item.starved && !topped;
-            topped |= item.starved;
+            let top = item.starved && !topped && item.spec.kind == Kind::Gang;
+            topped |= top;
             if (item.spec.kind == Kind::Gang || item.guaranteed) && tries > 0 {
                 tries -= usize::from(make_way(item, short, hosts, victims, top, &mut plan));
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -9,18 +9,7 @@
 use walnuttrestle::protocol::wire::{Phase, decode, encode};
 use walnuttrestle::protocol::{Kind, Spec};
 use world::store::Limits;
-use world::{Costs, Cut, LEASE_S, Party, SEC, World, after, job};
-
-/// `LOG_LEVEL=debug cargo test -- --nocapture NAME` shows what the controllers log.
-fn settled(seed: u64, machines: usize) -> World {
-    let _ = env_logger::Builder::from_env(env_logger::Env::default().filter("LOG_LEVEL"))
-        .is_test(true)
-        .try_init();
-    let mut w = World::new(seed, 3, machines);
-    w.run(8);
-    assert!(w.leader().is_some(), "nobody leads");
-    w
-}
+use world::{Costs, Cut, LEASE_S, Party, SEC, World, after, job, settled};
 
 #[test]
 fn a_quiet_day_runs_everything() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -231,6 +231,19 @@
     Settings::parse("test.toml", &text).expect("settings")
 }
 
+/// A world in which somebody leads.
+///
+/// `LOG_LEVEL=debug cargo test -- --nocapture NAME` shows what the controllers log.
+pub fn settled(seed: u64, machines: usize) -> World {
+    let _ = env_logger::Builder::from_env(env_logger::Env::default().filter("LOG_LEVEL"))
+        .is_test(true)
+        .try_init();
+    let mut w = World::new(seed, 3, machines);
+    w.run(8);
+    assert!(w.leader().is_some(), "nobody leads");
+    w
+}
+
 pub fn job(kind: Kind, tasks: u32, gpus: f64) -> Spec {
     Spec {
         class: "c".into(),
