Reread: one look-up of what a pass has met, room by the kept order, counts only where due

A wide array's free room comes from Rooms::candidates instead of a walk over all machines; a pass's near or far job and its kind are looked up in one place; overdue, aged and starved rows share a look-up; whether a lease has room for two vain tries is said once; kept attempts are counted only where a worker lists so many and a new term is due; what a user in tests/world knows belongs to their line.

--- a/src/coordination/far.rs
+++ b/src/coordination/far.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    fn row_is(&self, b: &Brief, is: impl Fn(&Scene<'a>, &Row) -> bool) -> bool {
+        let row = self.scene.backlog.row(b.slot);
+        row.is_some_and(|r| is(self.scene, r))
+    }
+
     fn far(&self, b: &Brief) -> bool {
         !self.near[b.slot as usize]
     }
@@ -165,8 +170,7 @@
     }
 
     fn starved(&self, b: &Brief) -> bool {
-        let row = self.scene.backlog.row(b.slot);
-        row.is_some_and(|r| self.scene.starved(r))
+        self.row_is(b, Scene::starved)
     }
 
     /// Gangs and arrays in the order in which they are backfilled: those that have waited for very long by
@@ -196,14 +200,12 @@
 
     /// Whether a job has waited for long.
     pub fn overdue(&self, b: &Brief) -> bool {
-        let row = self.scene.backlog.row(b.slot);
-        row.is_some_and(|r| self.scene.overdue(r))
+        self.row_is(b, Scene::overdue)
     }
 
     /// Whether a gang has waited for long enough to take the place of what cannot save.
     pub fn aged(&self, b: &Brief) -> bool {
-        let row = self.scene.backlog.row(b.slot);
-        row.is_some_and(|r| self.scene.aged(r))
+        self.row_is(b, Scene::aged)
     }
 
     /// The highest priority of a job and of those that need it.
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -240,7 +240,7 @@
         let inc = rng.random::<u64>() >> 1;
         let siblings = settings.siblings.len();
         let budget = Budget::new(&settings);
-        let (two_vain, lease) = (two_vain(&settings), settings.params.workers.lease_s);
+        let reach = Reach::new(clock.now, room_for_two_vain(&settings));
         let life = |pledge: Micros| if policy.pledges >= 1.0 { pledge.0 } else { 0 };
         let vouched = Vouched::new(siblings, life(PLEDGE_COUNTED));
         let quiet = Quiet::new(siblings, life(PLEDGE), clock.now.0);
@@ -283,7 +283,7 @@
             read_at: Micros::ZERO,
             store_heard: clock.now,
             probed: clock.now,
-            reach: Reach::new(clock.now, two_vain <= lease),
+            reach,
             leader_heard: None,
             sibling_view: BTreeMap::new(),
             highest: 0,
@@ -1323,7 +1323,7 @@
             .all(|x| x.node > s.node || !self.next_is_elsewhere(&x.node));
         lead.node != s.node
             && self.mirror.live.is_some()
-            && two_vain(s) > s.params.workers.lease_s
+            && !room_for_two_vain(s)
             && !self.next_is_elsewhere(&lead.node)
             && self.next_is_elsewhere(&s.node)
             && first
@@ -1454,9 +1454,10 @@
     }
 }
 
-/// How long a worker may go unanswered that tries two controllers in vain, in seconds.
-fn two_vain(s: &Settings) -> f64 {
-    (VAIN_TRY + VAIN_TRY).as_secs() + s.params.workers.report_s * LATEST_REPORT
+/// Whether a lease outlasts a worker's trying two controllers in vain.
+fn room_for_two_vain(s: &Settings) -> bool {
+    let w = &s.params.workers;
+    (VAIN_TRY + VAIN_TRY).as_secs() + w.report_s * LATEST_REPORT <= w.lease_s
 }
 
 /// A condition on a key's version.
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -363,7 +363,8 @@
                 of: met,
                 tasks: short,
             });
-            if !placed || self.singly(near, met) {
+            // Each task of an array starts for itself, wherever the others are.
+            if !placed || self.kind(near, met) == Kind::Array {
                 self.press(near, met, at, short, blocked.is_none(), false);
             }
             if !service && blocked.is_none() {
@@ -400,7 +401,7 @@
                 });
                 // Behind a job that never fits as a whole, such as a guest's very wide array, nobody else would
                 // ever be at the top.
-                let first = r.starved && !topped && !self.singly(near, met);
+                let first = r.starved && !topped && self.kind(near, met) == Kind::Gang;
                 topped |= first;
                 self.press(near, met, r.at, short, first, true);
             }
@@ -440,11 +441,27 @@
         short
     }
 
-    /// Whether each task of a job starts for itself, wherever the others are.
-    fn singly(&self, near: &[Item<'a>], met: Met<'a>) -> bool {
+    /// The kind of a job.
+    fn kind(&self, near: &[Item<'a>], met: Met<'a>) -> Kind {
         match met {
-            Met::Near(n) => near[n].spec.kind == Kind::Array,
-            Met::Far(brief) => self.far.form_of(brief).kind == Kind::Array,
+            Met::Near(n) => near[n].spec.kind,
+            Met::Far(brief) => self.far.form_of(brief).kind,
+        }
+    }
+
+    /// A job as a pass handles it; one far is `made` for that.
+    fn item<'i>(
+        &self,
+        near: &'i [Item<'a>],
+        met: Met<'a>,
+        made: &'i mut Option<Item<'a>>,
+    ) -> Option<&'i Item<'a>> {
+        match met {
+            Met::Near(n) => Some(&near[n]),
+            Met::Far(brief) => {
+                *made = self.far.item(brief);
+                made.as_ref()
+            }
         }
     }
 
@@ -467,12 +484,10 @@
             Kind::Service => !later || guaranteed,
             Kind::Array => guaranteed,
         };
-        let (kind, guaranteed) = match met {
-            Met::Near(n) => (near[n].spec.kind, near[n].guaranteed),
-            Met::Far(brief) => {
-                let form = self.far.form_of(brief);
-                (form.kind, self.far.guaranteed(form.team, at))
-            }
+        let kind = self.kind(near, met);
+        let guaranteed = match met {
+            Met::Near(n) => near[n].guaranteed,
+            Met::Far(brief) => self.far.guaranteed(self.far.form_of(brief).team, at),
         };
         if !presses(kind, guaranteed) {
             return;
@@ -495,16 +510,9 @@
         if self.hopeless.contains(&claim) {
             return;
         }
-        let made;
-        let item = match met {
-            Met::Near(n) => &near[n],
-            Met::Far(brief) => {
-                let Some(item) = self.far.item(brief) else {
-                    return;
-                };
-                made = item;
-                &made
-            }
+        let mut made = None;
+        let Some(item) = self.item(near, met, &mut made) else {
+            return;
         };
         match make_way(
             item,
@@ -575,13 +583,9 @@
     /// after all the room.
     fn share(&self, item: &Item<'_>) -> (u32, u32) {
         let (need, allow) = (&item.shape.need, &item.shape.allow);
-        let may = |h: &&Host| placement::may_take(h, item.id, need, allow);
-        let free: u32 = self
-            .rooms
-            .iter()
-            .filter(may)
-            .map(|h| slots(&h.free, need))
-            .sum();
+        let all = self.rooms.candidates(item.id, need, allow);
+        let all = all.into_iter().map(|h| slots(&self.rooms[h].free, need));
+        let free: u32 = all.sum();
         let half = (free / 2).max(u32::from(item.present.is_empty()).min(free));
         (free, half)
     }
@@ -594,16 +598,9 @@
             backfill,
         } in std::mem::take(&mut self.cut)
         {
-            let made;
-            let item = match met {
-                Met::Near(n) => &near[n],
-                Met::Far(brief) => match self.far.item(brief) {
-                    Some(item) => {
-                        made = item;
-                        &made
-                    }
-                    None => continue,
-                },
+            let mut made = None;
+            let Some(item) = self.item(near, met, &mut made) else {
+                continue;
             };
             let rest = &item.tasks[first as usize..];
             let may = self.room.slots(item.team, &item.shape.need);
@@ -766,13 +763,14 @@
     for v in &victims {
         without[v.host].give(&v.need);
     }
-    let mut found: BTreeMap<usize, u32> = BTreeMap::new();
-    if gang && short > 1 {
+    let found = if gang && short > 1 {
         let all = 0..without.len();
         let all = placement::gang(&without, all, item.id, item.spec, &item.shape, short, 1.0);
+        let mut found = BTreeMap::new();
         for h in all.into_iter().flatten() {
             *found.entry(h).or_default() += 1;
         }
+        found
     } else {
         // What a team is owed it gets at once. Others press gently: what they stop may have to begin anew.
         let most = if claim.guaranteed {
@@ -780,8 +778,8 @@
         } else {
             1
         };
-        found = one_by_one(item, left, most, hosts, &without);
-    }
+        one_by_one(item, left, most, hosts, &without)
+    };
     for (h, n) in found {
         let mut free = hosts[h].free;
         let mut here: Vec<&&Victim<'_>> = victims.iter().filter(|v| v.host == h).collect();
@@ -798,8 +796,8 @@
     Way::Weighed
 }
 
-/// At most so many machines for `left` tasks that start one by one, and how many on each, were all that gives way gone from
-/// them as in `without`; the fullest first, so that as few as possible have to go.
+/// At most so many machines for `left` tasks that start one by one, and how many on each, were all that gives
+/// way gone from them as in `without`; the fullest first, so that as few as possible have to go.
 fn one_by_one(
     item: &Item<'_>,
     left: u32,
--- a/src/coordination/tasks.rs
+++ b/src/coordination/tasks.rs
@@ -214,11 +214,9 @@
             let Some(l) = &mut self.leader else { break };
             let mut d = due(l, &self.mirror, &machine, now, false);
             fence |= d.fence;
-            let full = l
-                .workers
-                .get(&machine)
-                .is_some_and(|w| w.kept() > MOST_KEPT);
-            fence |= full && now.since(l.since) > FENCE_EVERY;
+            // Looked at only where it may be so: counting looks every start up.
+            let full = |w: &Worker| w.tasks.len() > MOST_KEPT && w.kept() > MOST_KEPT;
+            fence |= now.since(l.since) > FENCE_EVERY && l.workers.get(&machine).is_some_and(full);
             let Some(w) = l.workers.get_mut(&machine) else {
                 continue;
             };
--- a/tests/known.rs
+++ b/tests/known.rs
@@ -60,7 +60,7 @@
         }
         8 => {
             let (chance, until) = (w.rng.random_range(0.1..0.6), w.now + dt);
-            for m in w.workers.keys().cloned().collect::<Vec<_>>() {
+            for m in w.names() {
                 if w.rng.random_bool(chance) {
                     w.troubles.deafen(&m, until);
                 }
@@ -73,7 +73,7 @@
             });
         }
         _ => {
-            let m: Vec<String> = w.workers.keys().cloned().collect();
+            let m = w.names();
             let m = &m[w.rng.random_range(0..m.len())];
             let until = w.now + dt;
             w.workers.get_mut(m).expect("a machine").hung_until = until;
@@ -171,14 +171,11 @@
 fn waits(seed: u64, small: Small, large: Spec, crash: bool) -> Option<u64> {
     let mut w = balanced(seed, 12);
     w.no_capacity = true;
-    let high = |s: Spec| Spec {
-        priority: Priority::High,
-        ..s
-    };
     let gangs = |w: &mut World, n: u64, run: u64| {
         let spec = Spec {
             estimate_s: 5.0,
-            ..high(job(Kind::Gang, 1, 8.0))
+            priority: Priority::High,
+            ..job(Kind::Gang, 1, 8.0)
         };
         w.user(&format!("req-9{n}"), spec, run);
     };
--- a/tests/nights.rs
+++ b/tests/nights.rs
@@ -136,7 +136,7 @@
         let both = [Mute::Answers, Mute::Commands];
         let what = [&both[..], &both[..1], &both[1..]][w.rng.random_range(0..3)];
         let until = w.now + w.rng.random_range(5..50) * SEC;
-        for m in w.workers.keys().cloned().collect::<Vec<_>>() {
+        for m in w.names() {
             if zone.is_none_or(|z| w.workers[&m].zone == z) && w.rng.random_bool(0.8) {
                 w.troubles.deafen_to(&m, of, what, until);
                 half += 1;
@@ -197,7 +197,7 @@
         }
         let dt = w.rng.random_range(5_000_000..25_000_000);
         w.step_for(dt);
-        for m in w.workers.keys().cloned().collect::<Vec<_>>() {
+        for m in w.names() {
             if w.rng.random_bool(0.5) {
                 for i in 0..3 {
                     w.cut(
@@ -257,11 +257,6 @@
     assert!(stopped > 10, "{stopped}");
 }
 
-/// All machines that the world has.
-fn machines(w: &World) -> Vec<String> {
-    w.workers.keys().cloned().collect()
-}
-
 /// The state service and the siblings are out of a controller's reach, its workers are not.
 fn only_its_workers(w: &mut World, i: usize, dt: u64) {
     w.cut(Party::Node(i), Party::Store, Cut::Drop, dt);
@@ -318,7 +313,7 @@
         only_its_workers(&mut w, l, 17 * SEC);
         for i in (0..3).filter(|i| *i != l) {
             w.store.refuses.push(i);
-            for m in machines(&w) {
+            for m in w.names() {
                 w.cut(Party::Node(i), Party::Worker(m), Cut::Drop, 17 * SEC);
             }
         }
@@ -436,7 +431,7 @@
             }
         }
         w.cut(Party::Node(l), Party::Store, Cut::Drop, dt);
-        for m in machines(&w) {
+        for m in w.names() {
             let here = inside(&w.workers[&m].zone);
             for i in (0..3).filter(|i| (*i == l) != here) {
                 w.cut(Party::Node(i), Party::Worker(m.clone()), Cut::Drop, dt);
--- a/tests/world/asks.rs
+++ b/tests/world/asks.rs
@@ -31,6 +31,11 @@
             .unwrap_or_default()
     }
 
+    /// The names of all machines.
+    pub fn names(&self) -> Vec<String> {
+        self.workers.keys().cloned().collect()
+    }
+
     /// How many tasks have failed, on whatever machine.
     pub fn failures(&self) -> u32 {
         self.failures + self.workers.values().map(|w| w.failed).sum::<u32>()
--- a/tests/world/balancer.rs
+++ b/tests/world/balancer.rs
@@ -33,6 +33,8 @@
     node: Option<usize>,
     asked: u64,
     answered: u64,
+    /// When its user was last told the state of the job.
+    known: u64,
     over: bool,
 }
 
@@ -184,7 +186,7 @@
         if let Some(l) = self.balancer.lines.get_mut(id) {
             l.answered = now;
             if known {
-                self.balancer_known.insert(id.to_string(), now);
+                l.known = now;
             }
         }
     }
@@ -195,8 +197,7 @@
         };
         let now = self.now;
         let lost = self.balancer.lines.iter().find(|(id, l)| {
-            let heard = self.balancer_known.get(*id).copied().unwrap_or(0).max(calm);
-            !l.over && self.jobs[*id].accepted && now > heard + FORGOTTEN
+            !l.over && self.jobs[*id].accepted && now > l.known.max(calm) + FORGOTTEN
         });
         if let Some((id, _)) = lost {
             let id = id.clone();
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -164,8 +164,6 @@
     told_final: BTreeMap<String, (String, u64)>,
     pub on_break: Option<String>,
     balancer: balancer::Balancer,
-    /// When a user was last told the state of a job.
-    balancer_known: BTreeMap<String, u64>,
     /// How many tasks have failed on machines that are gone.
     failures: u32,
     /// How long a lease lasts, in seconds.
@@ -335,7 +333,6 @@
             told_final: BTreeMap::new(),
             on_break: None,
             balancer: Default::default(),
-            balancer_known: BTreeMap::new(),
             failures: 0,
             lease_s: LEASE_S,
             health: 0,
