--- a/crates/rights/src/lib.rs
+++ b/crates/rights/src/lib.rs
@@ -1,14 +1,16 @@
 //! Who may keep workers alive while the state service is out of reach.
 //!
-//! Three pure machines, without clocks and I/O of their own; times are microseconds of the caller's steady
+//! Pure machines, without clocks and I/O of their own; times are microseconds of the caller's steady
 //! clock. What they are for, and why they are safe, is in `docs/links.md` and `docs/safety.md`:
 //!
 //! - [`giver::Giver`]: a leader that the state service does not serve gives its siblings the right to renew
 //!   leases under its term, and takes no lease for run out that one of them may have renewed;
 //! - [`holder::Holder`]: a sibling that holds such a right, and knows when the leader's process has ended;
 //! - [`quiet::Quiet`] and [`quiet::Vouched`]: a controller that is not served pledges to tell nothing new
-//!   for a while, so that it can be vouched for after it has crashed.
+//!   for a while, so that it can be vouched for after it has crashed;
+//! - [`cancellations::Log`] and [`cancellations::Heard`]: what is cancelled, passed on among siblings.
 
+pub mod cancellations;
 pub mod giver;
 pub mod holder;
 pub mod quiet;
--- a/crates/rights/src/quiet.rs
+++ b/crates/rights/src/quiet.rs
@@ -77,12 +77,22 @@
     chain: Vec<Option<(Time, Time)>>,
 }
 
+/// How much we know of what a sibling may have told users.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Known {
+    /// It has not read the records since it started, so it does not know what its earlier run has told.
+    Unread,
+    /// It may have told something that we do not know.
+    Some,
+    /// Everything that it had told when it answered.
+    All,
+}
+
 /// What a sibling answered.
 #[derive(Debug, Clone, Copy)]
 pub struct Answer {
-    /// Revision of the newest that it knows and users may have been told; none: it has not read the records
-    /// since it started.
-    pub newest: Option<u64>,
+    /// What follows from it.
+    pub known: Known,
     /// It gives a pledge.
     pub quiet: bool,
 }
@@ -98,16 +108,16 @@
         }
     }
 
-    /// A sibling asked at `asked` has answered; our copy is complete up to `revision`.
-    pub fn answered(&mut self, sibling: usize, a: Answer, revision: u64, asked: Time, now: Time) {
+    /// A sibling asked at `asked` has answered.
+    pub fn answered(&mut self, sibling: usize, a: Answer, asked: Time, now: Time) {
         let u = &mut self.until[sibling];
-        let known = a.newest.is_some_and(|n| n <= revision);
+        let known = a.known == Known::All;
         if !a.quiet {
             *u = (*u).min(now);
         }
         // One that has just started knows nothing; but if its earlier run's pledge still held when it was
         // there already, that run has told nothing, and it has itself told nothing since.
-        let goes_on = a.quiet && a.newest.is_none() && now < *u;
+        let goes_on = a.quiet && a.known == Known::Unread && now < *u;
         // A pledge may be overtaken by the message that lifts it.
         let holds = a.quiet && asked > self.lifted[sibling];
         self.chain[sibling] = match self.chain[sibling] {
--- a/crates/rights/tests/every_state.rs
+++ b/crates/rights/tests/every_state.rs
@@ -7,7 +7,7 @@
 use walnuttrestle_rights::Time;
 use walnuttrestle_rights::giver::{Giver, Terms};
 use walnuttrestle_rights::holder::{Holder, Lead};
-use walnuttrestle_rights::quiet::{Answer, Quiet, Vouched};
+use walnuttrestle_rights::quiet::{Answer, Known, Quiet, Vouched};
 
 const LEASE: Time = 2;
 const GRACE: Time = 2;
@@ -229,10 +229,15 @@
                 };
                 n.asked = None;
                 let a = Answer {
-                    newest: r.newest,
+                    // B's copy is complete up to the lead of the first term.
+                    known: match r.newest {
+                        None => Known::Unread,
+                        Some(1) => Known::All,
+                        Some(_) => Known::Some,
+                    },
                     quiet: r.quiet,
                 };
-                n.vouched.answered(0, a, 1, *asked, now);
+                n.vouched.answered(0, a, *asked, now);
                 n.holder.take(r.right.then_some(TERM), r.run, *asked);
                 n.heard = r.run;
                 if !r.quiet {
@@ -249,11 +254,11 @@
                 };
                 if !quiet && self.without == Without::Overtaken {
                     // As `lifted`, but for what is on its way.
-                    let known = Answer {
-                        newest: None,
+                    let unread = Answer {
+                        known: Known::Unread,
                         quiet: false,
                     };
-                    n.vouched.answered(0, known, 1, 0, now);
+                    n.vouched.answered(0, unread, 0, now);
                 } else if !quiet {
                     n.vouched.lifted(0, now);
                 }
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -135,6 +135,9 @@
     met: Option<(BTreeSet<String>, u64)>,
     /// Revision of the newest cancellation or change of the lead in the copy.
     pub newest: u64,
+    /// Jobs newly shown to be cancelled since somebody last took the list, with their records' versions. Not those
+    /// that are so only because of a job that they need: nothing of these ever started.
+    cancelled: Vec<(String, u64)>,
     /// Counts changes of the renewals.
     pub renewals_changed: u64,
     /// Jobs whose records have changed since somebody last took the list.
@@ -148,11 +151,19 @@
 impl Mirror {
     /// Whether a job is known to be cancelled.
     pub fn is_cancelled(&self, id: &str) -> bool {
-        match self.job(id) {
-            Some(Known::Live(j)) => j.rec.stage == Stage::Cancelled,
-            Some(Known::Over(f)) => f.stage == Stage::Cancelled,
-            None => false,
-        }
+        self.stage(id) == Some(Stage::Cancelled)
+    }
+
+    /// Whether a job is known to be done.
+    pub fn is_done(&self, id: &str) -> bool {
+        self.stage(id) == Some(Stage::Done)
+    }
+
+    fn stage(&self, id: &str) -> Option<Stage> {
+        Some(match self.job(id)? {
+            Known::Live(j) => j.rec.stage,
+            Known::Over(f) => f.stage,
+        })
     }
 
     /// Looks up a job.
@@ -210,6 +221,11 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Jobs newly shown to be cancelled since the last call.
+    pub fn take_cancelled(&mut self) -> Vec<(String, u64)> {
+        std::mem::take(&mut self.cancelled)
+    }
+
     /// Tasks that have an attempt on record on this machine. Kept up with every record, so that
     /// looking at one machine does not cost a walk over all jobs.
     pub fn placed(&self, machine: &str) -> impl Iterator<Item = &(String, u32)> {
@@ -375,6 +391,9 @@
         }
         if rec.stage == Stage::Cancelled {
             self.newest = self.newest.max(version);
+            if !self.is_cancelled(id) {
+                self.cancelled.push((id.to_string(), version));
+            }
         }
         self.changed.insert(id.to_string());
         if self.newest(id) == 0 && rec.stage == Stage::Active {
--- a/src/bookkeeping/workers.rs
+++ b/src/bookkeeping/workers.rs
@@ -266,6 +266,13 @@
             .is_some_and(|s| s.loose && s.term >= self.term)
     }
 
+    /// All such starts.
+    pub fn loose(&self) -> impl Iterator<Item = &AttemptKey> {
+        let starts = self.starts.iter();
+        let loose = starts.filter(|(_, s)| s.loose && s.term >= self.term);
+        loose.map(|(key, _)| key)
+    }
+
     /// Whether a start of ours may still bring back an attempt that has ended, were it forgotten: one that got no
     /// answer and comes late, or a copy of one that was carried out. Only a higher term or another session fences
     /// those. What is done is no harm: it ends with the same result at once.
--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -143,7 +143,7 @@
         // Nobody has been heard right after a start.
         let young = clock.now < self.born + LEADER_SILENT;
         let heard = |node: &str| {
-            let view = self.sibling_view.get(node);
+            let view = self.siblings.view.get(node);
             young || view.is_some_and(|v| clock.now.since(v.heard) < LEADER_SILENT)
         };
         let siblings = &self.settings.siblings;
@@ -207,7 +207,7 @@
         let mut asked = false;
         for x in &s.siblings {
             // Nobody who is silent, or does not know what a part is, gets any.
-            let view = self.sibling_view.get(&x.node);
+            let view = self.siblings.view.get(&x.node);
             let heard = view.filter(|v| now.since(v.heard) < LEADER_SILENT);
             if let Some(v) = heard
                 && self.mirror.format_of(&x.node).0 >= FORMAT
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -298,7 +298,9 @@
     /// tell nothing new: it may be renewing the lease of a worker that runs the job.
     fn tell(&mut self, clock: Clock, conn: u64, status: u16, state: &JobState) {
         let newest = self.mirror.newest;
-        if state.status == word(Stage::Cancelled) && !self.quiet.may_tell(newest, clock.now.0) {
+        if state.status == word(Stage::Cancelled)
+            && !self.siblings.quiet.may_tell(newest, clock.now.0)
+        {
             self.refuse(conn, 503, "not all controllers have heard that we are back");
             return;
         }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -4,6 +4,7 @@
 use super::edits::Edits;
 use super::fleet::Fleet;
 use super::node::{CallTag, Clock, Node};
+use super::siblings::known_cancelled;
 use crate::bookkeeping::mirror::{Job, Mirror};
 use crate::bookkeeping::workers::{News, Seen, Standing, Worker};
 use crate::protocol::records::Entry;
@@ -405,6 +406,13 @@
                 w.hearing.showed(clock.now);
             }
         }
+        if !self.served() && self.may_start_cancelled(&name) {
+            // Nor can a higher term fence that start now, or its machine be given up: it comes too late only if
+            // the session ends.
+            log::info!("{name}: not renewed, a cancelled task may still be started on it");
+            self.respond(conn, 200, &BTreeMap::<&str, u64>::new());
+            return;
+        }
         let commands = self.commands_for(clock, &report, relayed);
         let Some(l) = &mut self.leader else { return };
         let term = l.term;
@@ -414,6 +422,16 @@
         self.respond(conn, 200, &ReportAnswer { term, commands });
     }
 
+    /// Whether a start of a task whose job is cancelled may still be on its way to a machine.
+    fn may_start_cancelled(&self, machine: &str) -> bool {
+        let worker = self.leader.as_ref().and_then(|l| l.workers.get(machine));
+        let heard = &self.siblings.heard;
+        worker.is_some_and(|w| {
+            let mut loose = w.loose().map(|(job, ..)| job);
+            loose.any(|job| known_cancelled(&self.mirror, heard, job))
+        })
+    }
+
     /// Takes in a worker's message, from a report or a direct answer; tells whether it is newer than what we have.
     pub fn take_report(&mut self, clock: Clock, report: &Report) -> bool {
         let Some(l) = &mut self.leader else {
@@ -584,7 +602,7 @@
             .pass_interval(self.settings.params.limits.core_share)
             .times(self.turns.stretch(now));
         let mut next = Micros::FAR;
-        let pledged = Micros(self.quiet.until());
+        let pledged = Micros(self.siblings.quiet.until());
         if let Some(l) = &mut self.leader {
             next = next.min(l.leases(&self.settings, &self.mirror, pledged, now));
             // Machines are given up and returned by time, not by events: a pass comes now and
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -18,6 +18,7 @@
 pub mod recovery;
 pub mod renewal;
 pub mod rooms;
+pub mod siblings;
 pub mod survey;
 pub mod tasks;
 pub mod turns;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -7,12 +7,13 @@
 use super::policy::Policy;
 use super::reach::Reach;
 use super::renewal::Renewals;
+use super::siblings::{SiblingView, Siblings};
 use super::turns::{Turn, Turns};
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::store::{Ask, Rank, Reply, Store};
 use crate::protocol::format;
-use crate::protocol::peer::{Gist, Heartbeat, More};
-use crate::protocol::records::{LEAD, LIVE, LeadRec, Stage, format_key};
+use crate::protocol::peer::Heartbeat;
+use crate::protocol::records::{LEAD, LIVE, LeadRec, format_key};
 use crate::protocol::wire::{
     Change, Cond, Misdirected, Problem, Report, Txn, decode, encode, to_value,
 };
@@ -21,8 +22,6 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
-use walnuttrestle_rights::holder::{Holder, Lead};
-use walnuttrestle_rights::quiet::{Answer, Quiet, Vouched};
 
 /// The steady clock and the time of day.
 #[derive(Debug, Clone, Copy)]
@@ -36,8 +35,8 @@
 /// Why the store was asked.
 #[derive(Debug, Clone)]
 pub enum Tag {
-    /// First reading of the records.
-    Load,
+    /// A page of a reading of all records: of which reading.
+    Load(u64),
     /// The standing watch.
     Follow,
     /// Catching up.
@@ -100,8 +99,6 @@
 const LEAD_TTL: Micros = Micros::millis(4000);
 /// Renewed at this pace.
 const RENEW_EVERY: Micros = Micros::millis(1200);
-/// Heartbeats among controllers.
-const HEARTBEAT_EVERY: Micros = Micros::millis(700);
 /// A leader silent for this long on all links of all siblings is taken for dead.
 pub(super) const LEADER_SILENT: Micros = Micros::millis(2500);
 /// A worker waits 4 s for an answer, and 1 s more before it tries the next controller.
@@ -123,10 +120,6 @@
 pub const HANDED_ON: &str = "/user";
 /// The record of the format we read is looked at again this long after it was written.
 const FORMAT_AGAIN: Micros = Micros::millis(1000);
-/// A pledge to tell users nothing new is kept for this long, if nobody hears that it is over. Siblings count on
-/// a little less, for clocks that drift.
-const PLEDGE: Micros = Micros::millis(15_000);
-const PLEDGE_COUNTED: Micros = Micros::millis(14_900);
 /// A follower that has heard nothing of the state service for this long asks it. Without users it would not
 /// notice an outage, since its watch stays open, and pledge nothing.
 const PROBE_AFTER: Micros = Micros::millis(2000);
@@ -134,19 +127,6 @@
 /// A leader catches up with the store at least this often.
 const PROOF_EVERY: Micros = Micros::millis(1000);
 
-/// What a sibling last told.
-pub(super) struct SiblingView {
-    pub(super) heard: Micros,
-    /// Since when it has been heard without a longer silence.
-    since: Micros,
-    leader_silent_ms: Option<u64>,
-    served: bool,
-    /// It has told of a format older than the one on record for it, so it has gone back.
-    went_back: Option<u32>,
-    /// What it asks for of the budget of changes.
-    pub(super) asks: u64,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum ClaimState {
     Idle,
@@ -187,38 +167,30 @@
     renewing: bool,
     load_after: String,
     load_at: Option<Micros>,
+    /// Number of the reading of all records that is under way, or was last.
+    load_number: u64,
+    /// All records are being read.
+    loading: bool,
     follow_at: Option<Micros>,
+    /// The standing watch is open.
+    following: bool,
     barrier_sent: Option<Micros>,
     barrier_flying: Vec<Waiter>,
     barrier_next: Vec<Waiter>,
     /// Whose turn it is to write: job records, or acceptances.
     turn: bool,
     barrier_at: Micros,
-    heartbeat_at: Micros,
-    heartbeat_flying: Vec<bool>,
-    /// Whether the heartbeat on its way to each sibling said that we are not served.
-    heartbeat_quiet: Vec<bool>,
-    /// Up to when each sibling is known to have told users nothing that we do not know.
-    vouched: Vouched,
-    /// What we have pledged ourselves.
-    pub(super) quiet: Quiet,
-    /// The right to renew leases that the leader has given us.
-    pub(super) right: Holder,
-    /// Which run of each sibling's process last answered, and when it was asked.
-    runs: Vec<Option<(u64, Micros)>>,
-    /// What siblings have told of the records, and since when we know of that lead; only until we have read them.
-    pub(super) gist: Option<(Gist, Micros)>,
+    /// What siblings have told, and what we have told them.
+    pub(super) siblings: Siblings,
     /// Start of the last read of all changes.
-    read_at: Micros,
+    pub(super) read_at: Micros,
     /// When the state service last answered us, and when we last asked for nothing but a sign of life.
     store_heard: Micros,
     probed: Micros,
     /// Whom we still reach.
     pub(super) reach: Reach,
-    leader_heard: Option<(String, Micros)>,
-    pub(super) sibling_view: BTreeMap<String, SiblingView>,
     /// Highest term that anybody has shown us; below it we never lead, whatever an old copy says.
-    highest: u64,
+    pub(super) highest: u64,
     /// Our share of the store's budgets.
     pub(super) budget: Budget,
     /// When we last gave the lead away.
@@ -226,7 +198,7 @@
     /// When we started.
     pub(super) born: Micros,
     /// Version of the record of the lead, and since when we know it.
-    lead_seen: (u64, Micros),
+    pub(super) lead_seen: (u64, Micros),
     /// When our record of the format we read is looked at again; none: it is being written.
     format_at: Option<Micros>,
     /// It has been logged that all controllers read our format.
@@ -238,12 +210,9 @@
     pub fn new(settings: Settings, policy: Policy, seed: u64, clock: Clock) -> Node {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let inc = rng.random::<u64>() >> 1;
-        let siblings = settings.siblings.len();
+        let siblings = Siblings::new(settings.siblings.len(), &policy, clock.now);
         let budget = Budget::new(&settings);
         let reach = Reach::new(clock.now, room_for_two_vain(&settings));
-        let life = |pledge: Micros| if policy.pledges >= 1.0 { pledge.0 } else { 0 };
-        let vouched = Vouched::new(siblings, life(PLEDGE_COUNTED));
-        let quiet = Quiet::new(siblings, life(PLEDGE), clock.now.0);
         let (rps, wps, burst) = budget.rates(&settings);
         let store = Store::new(settings.external.state, rps, wps, burst);
         Node {
@@ -266,26 +235,20 @@
             renewing: false,
             load_after: String::new(),
             load_at: Some(clock.now),
+            load_number: 0,
+            loading: true,
             follow_at: None,
+            following: false,
             barrier_sent: None,
             barrier_flying: Vec::new(),
             barrier_next: Vec::new(),
             turn: false,
             barrier_at: Micros::ZERO,
-            heartbeat_at: clock.now,
-            heartbeat_flying: vec![false; siblings],
-            heartbeat_quiet: vec![true; siblings],
-            vouched,
-            quiet,
-            right: Holder::default(),
-            runs: vec![None; siblings],
-            gist: None,
+            siblings,
             read_at: Micros::ZERO,
             store_heard: clock.now,
             probed: clock.now,
             reach,
-            leader_heard: None,
-            sibling_view: BTreeMap::new(),
             highest: 0,
             budget,
             yielded: None,
@@ -430,17 +393,23 @@
         body: &[u8],
     ) {
         if internal {
-            match Heartbeat::decode(body) {
-                Some(h) if path == "/heartbeat" => {
-                    let body = self.answer_heartbeat(clock, h).encode();
-                    self.out.push(NetCmd::Respond {
-                        conn,
-                        status: 200,
-                        body,
-                        retry_after: None,
-                    });
-                }
-                _ if path == "/hello" => match decode::<Report>(body) {
+            match path {
+                "/heartbeat" => match Heartbeat::decode(body) {
+                    Ok(h) => {
+                        let body = self.answer_heartbeat(clock, h).encode();
+                        self.out.push(NetCmd::Respond {
+                            conn,
+                            status: 200,
+                            body,
+                            retry_after: None,
+                        });
+                    }
+                    Err(e) => {
+                        log::warn!("a heartbeat is dropped: {e}");
+                        self.refuse(conn, 400, "not a heartbeat");
+                    }
+                },
+                "/hello" => match decode::<Report>(body) {
                     Some(r) if self.leader.as_ref().is_some_and(|l| r.term <= l.term) => {
                         self.leader_report(clock, conn, r, true);
                     }
@@ -542,42 +511,43 @@
 
     fn on_store(&mut self, clock: Clock, tag: Tag, ask: Ask, sent: Micros, reply: Reply) {
         match (tag, reply) {
-            (Tag::Load, Reply::Page(page)) => {
+            // A reading that was begun anew goes on from its own pages only: those of the one before would lead it
+            // past keys that it has not met, and these would be taken for deleted.
+            (Tag::Load(n), _) if n != self.load_number => {}
+            (Tag::Load(_), Reply::Page(page)) => {
                 let last = page.items.last().map(|i| i.key.clone());
                 if self.mirror.apply_page(page) {
                     log::info!("records read up to revision {}", self.mirror.revision);
                     self.load_after.clear();
-                    self.gist = None;
-                    self.follow_at = Some(clock.now);
+                    self.siblings.gist = None;
+                    self.loading = false;
+                    self.follow_at = (!self.following).then_some(clock.now);
                     self.on_news(clock);
                 } else {
                     self.load_after = last.unwrap_or_default();
                     self.load_at = Some(clock.now);
                 }
             }
-            (Tag::Load, _) => self.load_at = Some(clock.now + Micros::millis(250)),
-            (Tag::Follow, Reply::Events(a)) => {
-                self.mirror.apply(a);
-                let gap = (FOLLOW_SHARE / self.store.request_rate()).clamp(0.04, 0.4);
-                self.follow_at = Some(clock.now.max(sent + Micros::secs(gap)));
-                self.on_news(clock);
+            (Tag::Load(_), _) => self.load_at = Some(clock.now + Micros::millis(250)),
+            (Tag::Follow, reply) => {
+                self.following = false;
+                match reply {
+                    Reply::Events(a) => {
+                        self.mirror.apply(a);
+                        self.note_read(sent);
+                        let gap = (FOLLOW_SHARE / self.store.request_rate()).clamp(0.04, 0.4);
+                        self.follow_at = Some(clock.now.max(sent + Micros::secs(gap)));
+                        self.on_news(clock);
+                    }
+                    // The copy may have been read anew since that watch was opened.
+                    Reply::TooOld if watched(&ask) >= self.mirror.revision => self.reload(clock),
+                    _ => self.follow_at = Some(clock.now + Micros::millis(300)),
+                }
             }
-            (Tag::Follow, Reply::TooOld) => self.reload(clock),
-            (Tag::Follow, _) => self.follow_at = Some(clock.now + Micros::millis(300)),
             (Tag::Barrier, Reply::Events(a)) => {
                 self.mirror.apply(a);
                 self.barrier_sent = None;
-                self.read_at = self.read_at.max(sent);
-                if let Some(l) = &mut self.leader
-                    && self
-                        .mirror
-                        .lead
-                        .as_ref()
-                        .is_some_and(|(_, v)| *v == l.version)
-                {
-                    l.proof = l.proof.max(sent);
-                }
-                self.prove_renewals(sent);
+                self.note_read(sent);
                 self.on_news(clock);
                 for w in std::mem::take(&mut self.barrier_flying) {
                     self.resume(clock, w);
@@ -585,7 +555,7 @@
                 self.send_barrier(clock);
             }
             (Tag::Barrier, reply) => {
-                if reply == Reply::TooOld {
+                if reply == Reply::TooOld && watched(&ask) >= self.mirror.revision {
                     self.reload(clock);
                 }
                 self.barrier_sent = None;
@@ -612,8 +582,9 @@
                 }
                 self.claim = ClaimState::Idle;
                 self.on_news(clock);
+                // The commit shows that the term is ours, and not what was cancelled before it.
                 if let Some(l) = &mut self.leader {
-                    l.proof = l.proof.max(sent);
+                    l.proof = l.proof.max(self.read_at);
                 }
                 self.want_barrier(clock, Waiter::Proof);
             }
@@ -734,7 +705,7 @@
                 changes: vec![put(&key, &format::NEWEST, None)],
             }
         } else {
-            let view = &self.sibling_view;
+            let view = &self.siblings.view;
             let recent = |v: &SiblingView| clock.now.since(v.heard) < LEADER_SILENT;
             let back = view
                 .iter()
@@ -776,13 +747,30 @@
         }
     }
 
+    /// Reads all records anew, unless that is being done already.
     fn reload(&mut self, clock: Clock) {
+        if self.loading {
+            return;
+        }
         log::info!("rereading the records");
+        self.loading = true;
+        self.load_number += 1;
         self.follow_at = None;
         self.load_after.clear();
         self.load_at = Some(clock.now);
     }
 
+    /// The copy holds all changes up to a moment not before `sent`.
+    fn note_read(&mut self, sent: Micros) {
+        self.read_at = self.read_at.max(sent);
+        self.siblings.heard.read(sent.0);
+        let lead = self.mirror.lead.as_ref().map(|(_, v)| *v);
+        if let Some(l) = self.leader.as_mut().filter(|l| lead == Some(l.version)) {
+            l.proof = l.proof.max(sent);
+        }
+        self.prove_renewals(sent);
+    }
+
     /// Asks for a read barrier; the waiter goes on once the copy is at least as new as now.
     pub fn want_barrier(&mut self, clock: Clock, w: Waiter) {
         self.barrier_next.push(w);
@@ -859,7 +847,7 @@
         self.on_changed_jobs();
     }
 
-    fn stand_down(&mut self, why: &str) {
+    pub(super) fn stand_down(&mut self, why: &str) {
         if let Some(l) = self.leader.take() {
             log::info!("standing down from term {}: {why}", l.term);
         }
@@ -873,7 +861,8 @@
             if at <= now {
                 self.load_at = None;
                 let after = self.load_after.clone();
-                self.store.ask(Rank::First, Tag::Load, Ask::List { after });
+                let tag = Tag::Load(self.load_number);
+                self.store.ask(Rank::First, tag, Ask::List { after });
             } else {
                 next = next.min(at);
             }
@@ -885,6 +874,7 @@
                     after: self.mirror.revision,
                     block_ms: 10_000,
                 };
+                self.following = true;
                 self.store.ask(Rank::First, Tag::Follow, ask);
             } else {
                 next = next.min(at);
@@ -953,328 +943,6 @@
         next
     }
 
-    fn heartbeats(&mut self, clock: Clock) -> Micros {
-        if self.heartbeat_at <= clock.now {
-            self.heartbeat_at = clock.now + HEARTBEAT_EVERY;
-            let beat = self.heartbeat(clock);
-            let bytes = beat.encode();
-            for i in 0..self.settings.siblings.len() {
-                if self.heartbeat_flying[i] {
-                    continue;
-                }
-                self.heartbeat_flying[i] = true;
-                self.heartbeat_quiet[i] = beat.more.is_some_and(|m| m.quiet);
-                let addr = self.settings.siblings[i].address;
-                self.call(
-                    CallTag::Heartbeat(i, clock.now),
-                    addr,
-                    "POST",
-                    "/heartbeat",
-                    bytes.clone(),
-                    Micros::millis(2000),
-                );
-            }
-        }
-        self.heartbeat_at
-    }
-
-    fn heartbeat(&self, clock: Clock) -> Heartbeat {
-        let grace = self.proof_grace();
-        Heartbeat {
-            node: self.settings.node.clone(),
-            leading: self
-                .leader
-                .as_ref()
-                .filter(|l| clock.now < l.vouched.max(l.proof) + grace)
-                .map(|l| l.term),
-            leader_silent_ms: self
-                .leader_heard
-                .as_ref()
-                .map(|(_, t)| clock.now.since(*t).0 / 1000),
-            newest: self.mirror.synced.then_some(self.mirror.newest),
-            served: self.served(),
-            format: format::NEWEST,
-            asks: self.budget.asks(),
-            epoch: self.mirror.parts.as_ref().map_or(0, |(g, _)| g.epoch),
-            more: Some(More {
-                run: self.inc,
-                right: None,
-                used_ago: self.right.used_ago(clock.now.0),
-                quiet: self.policy.pledges >= 1.0 && !self.served(),
-            }),
-            gist: None,
-        }
-    }
-
-    /// What a sibling that has not read the records has to know of them; only while nobody can read them, so that
-    /// it stays true.
-    fn gist_for(&self, clock: Clock) -> Option<Gist> {
-        let siblings = self.settings.siblings.iter().enumerate();
-        let ago = |i| clock.now.0.saturating_sub(self.vouched.of(i));
-        let known = siblings.map(|(i, s)| (s.node.clone(), ago(i))).collect();
-        if !self.mirror.synced {
-            // What we were told ourselves.
-            let (gist, _) = self.gist.as_ref()?;
-            let gist = gist.clone();
-            return Some(Gist { known, ..gist });
-        }
-        let (lead, _) = self.mirror.lead.as_ref()?;
-        let jobs = self.mirror.jobs.iter();
-        let cancelled = jobs.filter(|(_, j)| j.rec.stage == Stage::Cancelled);
-        Some(Gist {
-            lead: (lead.node.clone(), lead.inc, lead.term),
-            revision: self.mirror.revision,
-            cancelled: cancelled.map(|(id, _)| id.clone()).collect(),
-            known,
-        })
-    }
-
-    /// Which of the siblings in the settings has this name.
-    fn sibling(&self, node: &str) -> Option<usize> {
-        self.settings.siblings.iter().position(|s| s.node == node)
-    }
-
-    /// Takes in what a sibling, asked at `sent`, tells of the records.
-    fn on_gist(&mut self, clock: Clock, sent: Micros, gist: Gist) {
-        let before = self.gist.as_ref();
-        if self.mirror.synced || before.is_some_and(|(g, _)| g.revision > gist.revision) {
-            return;
-        }
-        for (node, ago) in &gist.known {
-            if let Some(i) = self.sibling(node) {
-                self.vouched.learnt(i, sent.0.saturating_sub(*ago));
-            }
-        }
-        let since = before.filter(|(g, _)| g.lead == gist.lead).map(|(_, t)| *t);
-        if since.is_none() {
-            log::info!("told of the records up to revision {}", gist.revision);
-        }
-        self.gist = Some((gist, since.unwrap_or(clock.now)));
-    }
-
-    /// Whether a job is known to be cancelled, from the records or from a sibling.
-    pub(super) fn is_cancelled(&self, job: &str) -> bool {
-        let told = |(g, _): &(Gist, Micros)| g.cancelled.iter().any(|c| c == job);
-        self.mirror.is_cancelled(job) || self.gist.as_ref().is_some_and(told)
-    }
-
-    /// Answers a sibling's heartbeat. While the state service does not serve us, the answer is a pledge to tell
-    /// users nothing that the sibling may not know of, and if we lead, it gives the right to renew leases: with
-    /// both, others can keep the workers alive should we be lost.
-    fn answer_heartbeat(&mut self, clock: Clock, h: Heartbeat) -> Heartbeat {
-        let (theirs, from, unread) = (h.more, h.node.clone(), h.newest.is_none());
-        self.on_heartbeat(clock, h);
-        let mut beat = self.heartbeat(clock);
-        let (served, sibling) = (self.served(), self.sibling(&from));
-        let (Some(more), Some(theirs), Some(i)) = (&mut beat.more, theirs, sibling) else {
-            return beat;
-        };
-        if more.quiet {
-            self.quiet.pledge(i, self.mirror.newest, clock.now.0);
-        }
-        if let (Some(l), false, Some(term)) = (&mut self.leader, served, beat.leading) {
-            more.right = Some(term);
-            l.rights.give(&from, theirs.run, clock.now.0);
-        }
-        if more.quiet && unread {
-            beat.gist = self.gist_for(clock);
-        }
-        beat
-    }
-
-    /// What a sibling's answer tells of runs, rights and pledges.
-    fn on_more(&mut self, clock: Clock, i: usize, sent: Micros, more: More) {
-        let now = clock.now.0;
-        let again = self.runs[i].is_some_and(|(run, _)| run != more.run);
-        if again {
-            log::info!("{} has started again", self.settings.siblings[i].node);
-        }
-        self.runs[i] = Some((more.run, sent));
-        self.right.take(more.right, more.run, sent.0);
-        if let Some(l) = &mut self.leader {
-            let node = &self.settings.siblings[i].node;
-            l.rights.told(node, more.run, sent.0, now, more.used_ago);
-        }
-    }
-
-    /// The lead on record, as we know it, and whether its process has ended: a process that
-    /// has answered as another run, asked after we knew of the lead, does not lead any more. A connection
-    /// that is refused, and silence, tell nothing of the kind.
-    pub(super) fn known_lead(&self) -> Option<Lead> {
-        let (node, run, term, since) = match (&self.mirror.lead, &self.gist) {
-            (Some((l, version)), _) if self.mirror.synced => {
-                let since = Some(self.lead_seen.1).filter(|_| self.lead_seen.0 == *version);
-                (&l.node, l.inc, l.term, since)
-            }
-            (_, Some((g, since))) if !self.mirror.synced => {
-                (&g.lead.0, g.lead.1, g.lead.2, Some(*since))
-            }
-            _ => return None,
-        };
-        let ended = if *node == self.settings.node {
-            run != self.inc
-        } else {
-            let i = self.sibling(node)?;
-            self.runs[i].is_some_and(|(r, asked)| r != run && since.is_some_and(|t| asked >= t))
-        };
-        Some(Lead { term, run, ended })
-    }
-
-    /// The leader's process has ended and started again.
-    pub(super) fn leader_ended(&self) -> bool {
-        self.known_lead().is_some_and(|l| l.ended)
-    }
-
-    /// Up to when everything is known that users were told, and every change of the lead: from the store or
-    /// from all siblings.
-    pub(super) fn known_until(&self) -> Micros {
-        let told = self.vouched.all().map_or(Micros::ZERO, Micros);
-        self.read_at.max(told)
-    }
-
-    /// A sibling has answered a heartbeat of ours, or not. If it knows of no cancellation and no
-    /// change of the lead that we do not know of, it vouches for our renewals as of when we asked.
-    fn on_heartbeat_answer(&mut self, clock: Clock, i: usize, sent: Micros, outcome: Outcome) {
-        self.heartbeat_flying[i] = false;
-        let Outcome::Reply { status: 200, body } = outcome else {
-            return;
-        };
-        let Some(h) = Heartbeat::decode(&body) else {
-            return;
-        };
-        if h.node != self.settings.siblings[i].node {
-            return;
-        }
-        let more = h.more.unwrap_or_default();
-        let mut h = h;
-        if let Some(gist) = h.gist.take() {
-            self.on_gist(clock, sent, gist);
-        }
-        if !self.heartbeat_quiet[i] {
-            // It was told that we have pledged nothing, and has answered.
-            self.quiet.heard(i, sent.0, clock.now.0);
-        }
-        // Only what the copy is complete up to counts: a commit of our own may have a higher
-        // revision than one of theirs that we have not seen.
-        let answer = Answer {
-            newest: h.newest,
-            quiet: more.quiet,
-        };
-        let told = self.gist.as_ref().map_or(0, |(g, _)| g.revision);
-        let revision = match self.mirror.synced {
-            true => self.mirror.revision,
-            false => told,
-        };
-        self.vouched
-            .answered(i, answer, revision, sent.0, clock.now.0);
-        if h.more.is_some() {
-            self.on_more(clock, i, sent, more);
-        }
-        self.on_heartbeat(clock, h);
-        self.note_vouched();
-    }
-
-    fn note_vouched(&mut self) {
-        if let (Some(l), Some(all)) = (&mut self.leader, self.vouched.all()) {
-            l.vouched = Micros(all);
-        }
-    }
-
-    fn on_heartbeat(&mut self, clock: Clock, h: Heartbeat) {
-        self.reach.sibling(clock.now);
-        self.highest = self.highest.max(h.leading.unwrap_or(0));
-        if let (Some(theirs), Some(l)) = (h.leading, &self.leader)
-            && theirs > l.term
-        {
-            // Cut off from the store, we would learn it late; the workers should not wait.
-            self.stand_down("another controller leads with a higher term");
-        }
-        if h.leading.is_some() {
-            self.leader_heard = Some((h.node.clone(), clock.now));
-        }
-        let sibling = self.sibling(&h.node);
-        if let (Some(i), false) = (sibling, h.more.unwrap_or_default().quiet) {
-            self.vouched.lifted(i, clock.now.0);
-            self.note_vouched();
-        }
-        let before = self.sibling_view.get(&h.node);
-        let since = before
-            .filter(|v| clock.now.since(v.heard) < LEADER_SILENT)
-            .map_or(clock.now, |v| v.since);
-        let view = SiblingView {
-            heard: clock.now,
-            since,
-            leader_silent_ms: h.leader_silent_ms,
-            served: h.served,
-            went_back: Some(h.format).filter(|f| *f < self.mirror.format_of(&h.node).0),
-            asks: h.asks,
-        };
-        if h.epoch > 0 {
-            self.budget.told(&h.node, h.epoch);
-        }
-        self.sibling_view.insert(h.node, view);
-    }
-
-    /// Whether everybody who can be asked has lost sight of the leader. A takeover while it
-    /// still lives costs a moment and is safe: the term fences it.
-    fn leader_lost(&self, clock: Clock, leader: &str) -> bool {
-        let Some((heard, at)) = &self.leader_heard else {
-            return false;
-        };
-        if heard != leader || clock.now.since(*at) < LEADER_SILENT {
-            return false;
-        }
-        // One that is cut off by itself must not take the lead from the rest: somebody else has
-        // to miss the leader, too. Otherwise the lease in the store decides. Where controllers could
-        // not reach one another and can again, it is luck whom one hears first: somebody's word counts
-        // only once they have been heard for as long as a leader may be silent.
-        let recent = |v: &SiblingView| clock.now.since(v.heard) < LEADER_SILENT;
-        let steady = |v: &SiblingView| clock.now.since(v.since) >= LEADER_SILENT;
-        let views = self.sibling_view.iter();
-        let others: Vec<&SiblingView> = views
-            .filter(|(n, v)| *n != leader && recent(v))
-            .map(|(_, v)| v)
-            .collect();
-        others.iter().any(|v| steady(v))
-            && others.iter().all(|v| {
-                let silent = v.leader_silent_ms;
-                silent.is_none_or(|ms| ms * 1000 >= LEADER_SILENT.0)
-            })
-    }
-
-    /// How long nothing has been heard from the controller that leads, in whatever role; none:
-    /// it was never heard.
-    pub fn leader_unheard(&self, clock: Clock, leader: &str) -> Option<Micros> {
-        self.sibling_view
-            .get(leader)
-            .map(|v| clock.now.since(v.heard))
-    }
-
-    /// We have read the records, and the state service serves us.
-    pub fn served(&self) -> bool {
-        self.mirror.synced && !self.store.silent()
-    }
-
-    /// The address of a sibling that the state service serves while it does not serve us; the
-    /// leader first.
-    pub fn better_placed(&self, clock: Clock) -> Option<std::net::SocketAddr> {
-        if self.served() {
-            return None;
-        }
-        let leader = self.mirror.lead.as_ref().map(|(l, _)| l.node.as_str());
-        let mut found = None;
-        for s in &self.settings.siblings {
-            let fit = self
-                .sibling_view
-                .get(&s.node)
-                .is_some_and(|v| v.served && clock.now.since(v.heard) < LEADER_SILENT);
-            if fit && (found.is_none() || leader == Some(s.node.as_str())) {
-                found = Some(s.address);
-            }
-        }
-        found
-    }
-
     /// The leader on record is an earlier run of our own process.
     fn own_past(&self) -> bool {
         self.mirror
@@ -1331,7 +999,7 @@
             && self.served()
             && s.siblings
                 .iter()
-                .all(|x| self.sibling_view.get(&x.node).is_some_and(calm))
+                .all(|x| self.siblings.view.get(&x.node).is_some_and(calm))
     }
 
     /// A sibling has put on record that it renews workers under the present lead: they come to it.
@@ -1460,6 +1128,14 @@
     (VAIN_TRY + VAIN_TRY).as_secs() + w.report_s * LATEST_REPORT <= w.lease_s
 }
 
+/// From which revision a watch was to tell.
+fn watched(ask: &Ask) -> u64 {
+    match ask {
+        Ask::Watch { after, .. } => *after,
+        _ => 0,
+    }
+}
+
 /// A condition on a key's version.
 pub fn cond(key: &str, version: u64) -> Cond {
     Cond {
--- a/src/coordination/renewal.rs
+++ b/src/coordination/renewal.rs
@@ -216,16 +216,20 @@
     fn has_right(&self, clock: Clock, report: &Report) -> bool {
         self.known_lead().is_some_and(|lead| {
             let (known, grace) = (self.known_until(), self.proof_grace());
-            report.term == lead.term && self.right.may(&lead, known.0, clock.now.0, grace.0)
+            report.term == lead.term
+                && self
+                    .siblings
+                    .right
+                    .may(&lead, known.0, clock.now.0, grace.0)
         })
     }
 
     fn renew_by_right(&mut self, clock: Clock, conn: u64, report: &Report) {
-        if self.right.used_ago(clock.now.0).is_none() {
+        if self.siblings.right.used_ago(clock.now.0).is_none() {
             log::info!("renewing leases by right, under term {}", report.term);
         }
         log::debug!("{}: renewed by right", report.machine);
-        self.right.note_use(clock.now.0);
+        self.siblings.right.note_use(clock.now.0);
         self.answer_renewed(conn, report, report.term);
     }
 
--- a/src/coordination/tasks.rs
+++ b/src/coordination/tasks.rs
@@ -2,6 +2,7 @@
 
 use super::leader::Leader;
 use super::node::{CallTag, Clock, Node, cond, put};
+use super::siblings::known_cancelled;
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::store::{Ask, Rank};
 use crate::bookkeeping::workers::{AttemptKey, Seen, Standing, Start, Worker};
@@ -9,6 +10,7 @@
 use crate::protocol::records::{LEAD, LeadRec};
 use crate::protocol::wire::{Command, Orders, Phase, Report, Txn, Why, decode, encode};
 use crate::transport::Outcome;
+use walnuttrestle_rights::cancellations::Heard;
 
 /// Starts are sent only this soon after a proof that our term holds.
 const START_PROOF: Micros = Micros::millis(4000);
@@ -39,10 +41,10 @@
 }
 
 impl Due {
-    /// Stops a task, unless that was sent a moment ago.
-    fn stop(&mut self, w: &Worker, t: &Seen, grace_s: f64, now: Micros) {
+    /// Stops a task, unless that was sent a moment ago. `surely`: in any case.
+    fn stop(&mut self, w: &Worker, t: &Seen, grace_s: f64, surely: bool, now: Micros) {
         let key = (t.job.clone(), t.task, t.attempt);
-        if w.stops.get(&key).is_none_or(|s| now >= *s + STOP_AGAIN) {
+        if surely || w.stops.get(&key).is_none_or(|s| now >= *s + STOP_AGAIN) {
             self.stops.push(key);
             self.commands.push(Command::Stop {
                 task: name(&t.job, t.task),
@@ -67,8 +69,16 @@
     format!("{job}/{task}")
 }
 
-/// What a worker is to be told now. Forgets are told only with answers to reports.
-fn due(l: &Leader, mirror: &Mirror, machine: &str, now: Micros, with_forgets: bool) -> Due {
+/// What a worker is to be told now, in an `answer` to its report or directly. Forgets are told only with answers.
+/// `heard`: what siblings have told to be cancelled.
+fn due(
+    l: &Leader,
+    mirror: &Mirror,
+    heard: &Heard,
+    machine: &str,
+    now: Micros,
+    answer: bool,
+) -> Due {
     let mut d = Due {
         commands: Vec::new(),
         starts: Vec::new(),
@@ -81,12 +91,15 @@
     if w.is_over() {
         return d;
     }
+    // An answer renews the lease: it must never leave out the stop of a cancelled task because that was sent a
+    // moment ago, directly perhaps, and lost.
+    let cancelled = |job: &str| known_cancelled(mirror, heard, job);
     if w.term != l.term || !l.caught_up(mirror) {
         // Nothing else may be decided yet, but the answer renews the worker's lease all the same. Under leaders
         // that end before it has shown the term of any of them, a cancelled task would live on and on.
         let there = w.tasks.iter().filter(|t| t.phase != Phase::Exited);
-        for t in there.filter(|t| mirror.is_cancelled(&t.job)) {
-            d.stop(w, t, 0.0, now);
+        for t in there.filter(|t| cancelled(&t.job)) {
+            d.stop(w, t, 0.0, answer, now);
         }
         return d;
     }
@@ -105,7 +118,7 @@
             // An attempt whose start may still arrive must stay known to the worker, or the
             // late start would run it again.
             let needed = unrecorded || (placed && active);
-            if with_forgets
+            if answer
                 && !needed
                 && !w.may_start_again(t)
                 && (job.is_some() || mirror.job(&t.job).is_some())
@@ -117,7 +130,8 @@
             }
             continue;
         }
-        let grace = if !active || !placed {
+        let over = cancelled(&t.job);
+        let grace = if !active || !placed || over {
             Some(0.0)
         } else {
             l.stop_of(&t.job, t.task)
@@ -130,7 +144,7 @@
             continue;
         }
         let Some(grace_s) = grace else { continue };
-        d.stop(w, t, grace_s, now);
+        d.stop(w, t, grace_s, over && answer, now);
     }
     for (id, task) in mirror.placed(machine) {
         let Some(job) = mirror.jobs.get(id) else {
@@ -144,7 +158,7 @@
         match l.standing(id, e) {
             Standing::NotStarted | Standing::Unclear => {
                 let loose = w.has_loose(id, *task, attempt);
-                let wanted = job.active() && l.wanted(id, e);
+                let wanted = job.active() && !cancelled(id) && l.wanted(id, e);
                 if wanted && may_start && !l.edits.placing(id, *task) {
                     d.starts.push((id.clone(), *task, attempt));
                     d.commands.push(Command::Start {
@@ -169,7 +183,14 @@
         let Some(l) = &mut self.leader else {
             return Vec::new();
         };
-        let d = due(l, &self.mirror, machine, clock.now, true);
+        let d = due(
+            l,
+            &self.mirror,
+            &self.siblings.heard,
+            machine,
+            clock.now,
+            true,
+        );
         if let Some(w) = l.workers.get_mut(machine) {
             for key in d.stops {
                 w.stops.insert(key, clock.now);
@@ -212,7 +233,8 @@
         let mut calls = Vec::new();
         for machine in names {
             let Some(l) = &mut self.leader else { break };
-            let mut d = due(l, &self.mirror, &machine, now, false);
+            let heard = &self.siblings.heard;
+            let mut d = due(l, &self.mirror, heard, &machine, now, false);
             fence |= d.fence;
             // Looked at only where it may be so: counting looks every start up.
             let full = |w: &Worker| w.tasks.len() > MOST_KEPT && w.kept() > MOST_KEPT;
--- a/src/protocol/format.rs
+++ b/src/protocol/format.rs
@@ -20,5 +20,8 @@
 /// Heartbeats carry runs, rights and pledges (crates/rights). Records are as before; a controller that does
 /// not know these is given no rights, and gives none.
 pub const RIGHTS: u32 = 5;
+/// Heartbeats carry cancellations (crates/rights). Records are as before; a controller that does not know these is
+/// told none, and vouches by the revision of the newest that it knows.
+pub const CANCELLATIONS: u32 = 6;
 /// The newest format that this version reads.
-pub const NEWEST: u32 = RIGHTS;
+pub const NEWEST: u32 = CANCELLATIONS;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -1,7 +1,31 @@
 //! What controllers tell one another (postcard).
 
 use super::format;
+use super::job::valid_id;
 use serde::{Deserialize, Serialize};
+use walnuttrestle_rights::cancellations::Part;
+
+/// Cancellations in one heartbeat at most; the rest follows with the next.
+pub const MOST_CANCELLATIONS: usize = 512;
+/// Siblings of which a heartbeat may tell.
+const MOST_SIBLINGS: usize = 64;
+
+/// Why a message of a sibling is not believed.
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum BadHeartbeat {
+    /// It is shorter than its format has it, or not of it.
+    #[error("it cannot be read as format {0}")]
+    Unreadable(u32),
+    /// There is more of it than its format has.
+    #[error("{0} bytes follow its end")]
+    TooLong(usize),
+    /// No version says that.
+    #[error("there is no format 0")]
+    NoFormat,
+    /// Its cancellations are too many, or none could be of these jobs.
+    #[error("its cancellations are impossible")]
+    Cancellations,
+}
 
 /// Sent to every sibling at a steady pace.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -34,6 +58,65 @@
     /// In an answer to a sibling that has not read the records; behind all else.
     #[serde(skip)]
     pub gist: Option<Gist>,
+    /// How far the sender knows the log of whoever it asks; since format `CANCELLATIONS`, behind the gist.
+    #[serde(skip)]
+    pub knows: Option<Knows>,
+    /// In an answer: what whoever asked does not know yet.
+    #[serde(skip)]
+    pub news: Option<CancellationNews>,
+}
+
+/// What of the cancellations a controller knows that asks a sibling.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Knows {
+    /// Its copy of the records is complete up to this revision.
+    pub complete: u64,
+    /// The run of the sibling whose log it has heard of, and the number of the first entry that it has not.
+    pub heard: (u64, u64),
+}
+
+impl Knows {
+    /// Where the log of this run goes on for the sender.
+    pub fn from(&self, run: u64) -> u64 {
+        if self.heard.0 == run { self.heard.1 } else { 0 }
+    }
+}
+
+/// What a controller tells a sibling of cancellations.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CancellationNews {
+    /// Version of the record of the lead in the sender's copy.
+    pub lead: u64,
+    /// Begin and end of the part of the sender's log that this is, and whether there is more.
+    pub from: u64,
+    /// See `from`.
+    pub next: u64,
+    /// See `from`.
+    pub more: bool,
+    /// Jobs with the versions of the records that show them cancelled.
+    pub jobs: Vec<(String, u64)>,
+    /// For each of its siblings, how long ago the sender last knew of everything that it had told users, in
+    /// microseconds.
+    pub known: Vec<(String, u64)>,
+}
+
+impl CancellationNews {
+    /// The part of a log in it.
+    pub fn part(&self) -> Part {
+        Part {
+            from: self.from,
+            next: self.next,
+            more: self.more,
+            jobs: self.jobs.clone(),
+        }
+    }
+
+    fn possible(&self) -> bool {
+        self.jobs.len() <= MOST_CANCELLATIONS
+            && self.known.len() <= MOST_SIBLINGS
+            && self.from <= self.next
+            && self.jobs.iter().all(|(id, _)| valid_id(id))
+    }
 }
 
 /// What a controller that starts in an outage has to know of the records to keep workers alive, from a sibling
@@ -70,26 +153,54 @@
         let known = postcard::to_stdvec(self).unwrap_or_default();
         let known = postcard::to_extend(&(self.format, self.asks, self.epoch), known);
         match &self.more {
-            Some(more) => known.and_then(|k| postcard::to_extend(&(more, &self.gist), k)),
+            Some(more) => {
+                let known = known.and_then(|k| postcard::to_extend(&(more, &self.gist), k));
+                known.and_then(|k| postcard::to_extend(&(&self.knows, &self.news), k))
+            }
             None => known,
         }
         .unwrap_or_default()
     }
 
-    /// From bytes.
-    pub fn decode(b: &[u8]) -> Option<Heartbeat> {
-        let (mut beat, rest) = postcard::take_from_bytes::<Heartbeat>(b).ok()?;
-        let (format, rest) = postcard::take_from_bytes(rest).unwrap_or((format::FIRST, rest));
-        beat.format = format;
-        if format >= format::PARTS {
-            let (parts, rest) = postcard::take_from_bytes(rest).unwrap_or(((0, 0), &[]));
-            (beat.asks, beat.epoch) = parts;
-            if format >= format::RIGHTS
-                && let Ok((more, gist)) = postcard::from_bytes::<(More, Option<Gist>)>(rest)
-            {
-                (beat.more, beat.gist) = (Some(more), gist);
+    /// From bytes. What a newer format may have behind what we know is passed over; whatever else is not as its
+    /// format has it makes the whole message worth nothing.
+    pub fn decode(b: &[u8]) -> Result<Heartbeat, BadHeartbeat> {
+        let (mut beat, rest) = take::<Heartbeat>(b, format::FIRST)?;
+        if rest.is_empty() {
+            // The first version ends here, and names no format.
+            beat.format = format::FIRST;
+            return Ok(beat);
+        }
+        let (told, mut rest) = take::<u32>(rest, format::FIRST)?;
+        if told == 0 {
+            return Err(BadHeartbeat::NoFormat);
+        }
+        beat.format = told;
+        if told >= format::PARTS {
+            let (parts, after) = take(rest, told)?;
+            ((beat.asks, beat.epoch), rest) = (parts, after);
+        }
+        if told >= format::RIGHTS {
+            let (more, after) = take::<(More, Option<Gist>)>(rest, told)?;
+            ((beat.more, beat.gist), rest) = ((Some(more.0), more.1), after);
+        }
+        if told >= format::CANCELLATIONS {
+            let (of, after) = take(rest, told)?;
+            ((beat.knows, beat.news), rest) = (of, after);
+        }
+        if beat.news.as_ref().is_some_and(|n| !n.possible()) {
+            return Err(BadHeartbeat::Cancellations);
+        }
+        match rest.len() {
+            // Before format `PARTS` whatever followed was not looked at.
+            n if n > 0 && (format::PARTS..=format::NEWEST).contains(&told) => {
+                Err(BadHeartbeat::TooLong(n))
             }
+            _ => Ok(beat),
         }
-        Some(beat)
     }
 }
+
+fn take<'b, T: Deserialize<'b>>(b: &'b [u8], told: u32) -> Result<(T, &'b [u8]), BadHeartbeat> {
+    postcard::take_from_bytes(b).map_err(|_| BadHeartbeat::Unreadable(told))
+}
--- a/tests/nights.rs
+++ b/tests/nights.rs
@@ -292,6 +292,9 @@
             99 * SEC,
         );
         w.run(6);
+        // Its user asks every 1 to 3 s, and may hear of it that much later.
+        assert_eq!(w.jobs["req-2"].done.len(), 4, "seed {seed}: {}", w.dump());
+        w.run(3);
         assert!(w.job_done("req-2"), "seed {seed}: {}", w.dump());
         w.cancel((l + 1) % 3, "req-3");
         w.run(80);
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -100,6 +100,9 @@
         self.open.insert(key, ());
         self.schedule(self.now + call.timeout.0, Ev::Timeout(i, run, call.id));
         let mut at = self.now + self.latency();
+        if self.troubles.lost(&Party::Node(i), &to, self.now) {
+            return;
+        }
         match self.across(&Party::Node(i), &to) {
             Some((Cut::Drop, _)) => return,
             Some((Cut::Hold, until)) => at = until + self.latency(),
@@ -148,6 +151,9 @@
         if from == Party::Store {
             at += self.slow_store;
         }
+        if self.troubles.lost(&from, &Party::Node(i), self.now) {
+            return;
+        }
         match self.across(&Party::Node(i), &from) {
             Some((Cut::Drop, _)) => return,
             Some((Cut::Hold, until)) => at = until + 1000,
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -9,6 +9,7 @@
 /// A request that waits for a change.
 pub struct Waiting {
     pub ticket: u64,
+    pub from: usize,
     pub after: u64,
     pub until: u64,
 }
@@ -36,7 +37,12 @@
     next_lease: u64,
     pub waiting: Vec<Waiting>,
     pub outage: bool,
+    /// Controllers that it refuses; their open watches wait as in an outage.
     pub refuses: Vec<usize>,
+    /// How many changes can be looked back on; none: all.
+    pub remembers: Option<usize>,
+    /// Watches and reads that were told to read all anew.
+    pub too_old: usize,
 }
 
 fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
@@ -139,6 +145,12 @@
         }
     }
 
+    /// Whether changes after this revision are no longer known.
+    fn forgotten(&self, after: u64) -> bool {
+        let missing = self.log.iter().filter(|e| e.version > after).count();
+        self.remembers.is_some_and(|n| missing > n)
+    }
+
     /// Watches that can be answered now.
     pub fn answerable(&mut self, now: u64) -> Vec<(u64, Vec<u8>)> {
         if self.outage {
@@ -148,7 +160,8 @@
         let mut rest = Vec::new();
         for w in std::mem::take(&mut self.waiting) {
             let a = self.events(w.after);
-            if !a.events.is_empty() || w.until <= now {
+            let refused = self.refuses.contains(&w.from);
+            if !refused && (!a.events.is_empty() || w.until <= now) {
                 out.push((w.ticket, encode(&a)));
             } else {
                 rest.push(w);
@@ -181,10 +194,15 @@
                 let block: u64 = query(path, "block_ms")
                     .and_then(|a| a.parse().ok())
                     .unwrap_or(0);
+                if self.forgotten(after) {
+                    self.too_old += 1;
+                    return Some((410, Vec::new()));
+                }
                 let a = self.events(after);
                 if a.events.is_empty() && block > 0 {
                     self.waiting.push(Waiting {
                         ticket,
+                        from,
                         after,
                         until: now + block * 1000,
                     });
--- a/tests/world/trouble.rs
+++ b/tests/world/trouble.rs
@@ -40,6 +40,8 @@
     pub repeats: Option<Copies>,
     /// Reports take up to this much longer.
     pub slow_reports: u64,
+    /// From whom, to whom, until when: what is sent that way is lost.
+    one_way: Vec<(Party, Party, u64)>,
 }
 
 impl Troubles {
@@ -61,6 +63,16 @@
         })
     }
 
+    /// What one sends the other is lost, requests and answers, but not the reverse.
+    pub fn cut_one_way(&mut self, from: Party, to: Party, until: u64) {
+        self.one_way.push((from, to, until));
+    }
+
+    pub(super) fn lost(&self, from: &Party, to: &Party, now: u64) -> bool {
+        let cut = |(a, b, until): &(Party, Party, u64)| a == from && b == to && now < *until;
+        self.one_way.iter().any(cut)
+    }
+
     /// All is well again, and what was on its way has come.
     pub fn end(&mut self) {
         *self = Troubles::default();
