--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -539,8 +539,7 @@
                         self.follow_at = Some(clock.now.max(sent + Micros::secs(gap)));
                         self.on_news(clock);
                     }
-                    // The copy may have been read anew since that watch was opened.
-                    Reply::TooOld if watched(&ask) >= self.mirror.revision => self.reload(clock),
+                    Reply::TooOld => self.reload(clock),
                     _ => self.follow_at = Some(clock.now + Micros::millis(300)),
                 }
             }
@@ -555,7 +554,7 @@
                 self.send_barrier(clock);
             }
             (Tag::Barrier, reply) => {
-                if reply == Reply::TooOld && watched(&ask) >= self.mirror.revision {
+                if reply == Reply::TooOld {
                     self.reload(clock);
                 }
                 self.barrier_sent = None;
@@ -1128,14 +1127,6 @@
     (VAIN_TRY + VAIN_TRY).as_secs() + w.report_s * LATEST_REPORT <= w.lease_s
 }
 
-/// From which revision a watch was to tell.
-fn watched(ask: &Ask) -> u64 {
-    match ask {
-        Ask::Watch { after, .. } => *after,
-        _ => 0,
-    }
-}
-
 /// A condition on a key's version.
 pub fn cond(key: &str, version: u64) -> Cond {
     Cond {
--- a/tests/world/trouble.rs
+++ b/tests/world/trouble.rs
@@ -40,6 +40,8 @@
     pub repeats: Option<Copies>,
     /// Reports take up to this much longer.
     pub slow_reports: u64,
+    /// The state service's answers to what this controller reads come so much later; what it writes is answered as ever.
+    pub slow_reads: Option<(usize, u64)>,
     /// From whom, to whom, until when: what is sent that way is lost.
     one_way: Vec<(Party, Party, u64)>,
 }
@@ -68,6 +70,13 @@
         self.one_way.push((from, to, until));
     }
 
+    pub(super) fn slow_reads(&self, node: usize, method: &str) -> u64 {
+        let slow = self
+            .slow_reads
+            .filter(|(n, _)| *n == node && method == "GET");
+        slow.map_or(0, |(_, late)| late)
+    }
+
     pub(super) fn lost(&self, from: &Party, to: &Party, now: u64) -> bool {
         let cut = |(a, b, until): &(Party, Party, u64)| a == from && b == to && now < *until;
         self.one_way.iter().any(cut)
