--- a/src/coordination/renewal.rs
+++ b/src/coordination/renewal.rs
@@ -195,7 +195,9 @@
             r.recorded.clear();
             r.machines.clear();
             r.proof = Micros::ZERO;
+            self.inherit(term);
         }
+        let r = &mut self.renewals;
         if r.recorded.contains(&report.machine) {
             self.renew_for(clock, conn, &report);
         } else if !self.served() && self.has_right(clock, &report) {
@@ -211,6 +213,16 @@
         }
     }
 
+    /// What an earlier run of ours has put on record it may have renewed until we started: our first record names it,
+    /// too, for a lease. Without it the leader would take these machines for given up, and start their tasks elsewhere.
+    fn inherit(&mut self, term: u64) {
+        let mine = self.mirror.renewals_of(&self.settings.node);
+        let ours = mine.into_iter().flatten().filter(|(r, _)| r.term == term);
+        for machine in ours.flat_map(|(r, _)| r.machines()) {
+            self.renewals.machines.insert(machine, self.born);
+        }
+    }
+
     /// Whether a worker that has seen the leader's term may be renewed without a record. One that has not seen
     /// it the leader may not know, and would not wait for.
     fn has_right(&self, clock: Clock, report: &Report) -> bool {
@@ -403,8 +415,9 @@
             if let (Some(term), Some((lead, version))) = (stale, &self.mirror.lead)
                 && term == lead.term
             {
-                if clock.now < lease || clock.now < r.written + Micros::millis(1000) {
-                    return lease.max(clock.now + Micros::millis(1000));
+                let over = self.born + lease;
+                if clock.now < over || clock.now < r.written + Micros::millis(1000) {
+                    return over.max(clock.now + Micros::millis(1000));
                 }
                 r.under = (term, *version);
                 self.write_renewals(clock);
--- a/src/coordination/tasks.rs
+++ b/src/coordination/tasks.rs
@@ -7,7 +7,7 @@
 use crate::bookkeeping::store::{Ask, Rank};
 use crate::bookkeeping::workers::{AttemptKey, Seen, Standing, Start, Worker};
 use crate::protocol::Micros;
-use crate::protocol::records::{LEAD, LeadRec};
+use crate::protocol::records::{LEAD, LeadRec, Stage};
 use crate::protocol::wire::{Command, Orders, Phase, Report, Txn, Why, decode, encode};
 use crate::transport::Outcome;
 use walnuttrestle_rights::cancellations::Heard;
@@ -130,7 +130,11 @@
             }
             continue;
         }
-        let over = cancelled(&t.job);
+        let over = match job {
+            Some(j) if j.active() => heard.contains(&t.job),
+            Some(j) => j.rec.stage == Stage::Cancelled,
+            None => cancelled(&t.job),
+        };
         let grace = if !active || !placed || over {
             Some(0.0)
         } else {
--- a/tests/world/machines.rs
+++ b/tests/world/machines.rs
@@ -128,7 +128,7 @@
                         t.until = if truth.spec.kind == Kind::Service {
                             0
                         } else {
-                            now + truth.run
+                            now + truth.run + u64::from(n) * truth.apart
                         };
                     }
                     w.report_at = w.report_at.min(now);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -83,6 +83,8 @@
 pub struct JobTruth {
     pub spec: Spec,
     pub run: u64,
+    /// Each task runs for so much longer than the one before.
+    pub apart: u64,
     pub done: BTreeSet<u32>,
     pub accepted: bool,
     pub asked_cancel: bool,
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -116,6 +116,11 @@
         {
             return;
         }
+        if let Some(late) = self.troubles.late_write(&call, &to, &mut self.rng) {
+            // Whoever asked has given up by then.
+            self.schedule(at + late, Ev::Arrive(i, run, call.id, call));
+            return;
+        }
         if let Some(late) = self.troubles.repeat(&call, &to, &mut self.rng) {
             let copy = Ev::Arrive(i, run, call.id, call.clone());
             self.schedule(at + late, copy);
--- a/tests/world/trouble.rs
+++ b/tests/world/trouble.rs
@@ -40,6 +40,8 @@
     pub repeats: Option<Copies>,
     /// Reports take up to this much longer.
     pub slow_reports: u64,
+    /// That share of transactions gets no answer, and is carried out 2 to 12 s later, after newer ones.
+    pub late_writes: f64,
     /// The state service's answers to what this controller reads come so much later; what it writes is answered as ever.
     pub slow_reads: Option<(usize, u64)>,
     /// From whom, to whom, until when: what is sent that way is lost.
@@ -77,6 +79,13 @@
         slow.map_or(0, |(_, late)| late)
     }
 
+    /// How much later a request to the state service is carried out, without an answer.
+    pub(super) fn late_write(&self, call: &Call, to: &Party, rng: &mut ChaCha8Rng) -> Option<u64> {
+        let written = *to == Party::Store && call.path == "/multi" && self.late_writes > 0.0;
+        let late = written && rng.random_bool(self.late_writes);
+        late.then(|| rng.random_range(2_000_000..12_000_000))
+    }
+
     pub(super) fn lost(&self, from: &Party, to: &Party, now: u64) -> bool {
         let cut = |(a, b, until): &(Party, Party, u64)| a == from && b == to && now < *until;
         self.one_way.iter().any(cut)
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -32,6 +32,7 @@
         let truth = JobTruth {
             spec,
             run,
+            apart: 0,
             done: BTreeSet::new(),
             accepted: false,
             asked_cancel: false,
