--- a/tests/world/machines.rs
+++ b/tests/world/machines.rs
@@ -181,7 +181,15 @@
         let mates = there.filter(|((k, attempt), _)| {
             *attempt == key.1 && k.rsplit_once('/').map(|(id, _)| id) == id
         });
-        !truth.done.is_empty() || mates.count() as u32 == truth.spec.tasks
+        // They complete together: while the machine of one stands still, none does.
+        let hung = |w: &FakeWorker| {
+            let mut held = w.holds().map(|((k, attempt), _)| (k, attempt));
+            let mate =
+                |(k, a): (&String, &u64)| *a == key.1 && k.rsplit_once('/').map(|(id, _)| id) == id;
+            w.hung_until > self.now && held.any(mate)
+        };
+        !truth.done.is_empty()
+            || mates.count() as u32 == truth.spec.tasks && !self.workers.values().any(hung)
     }
 
     /// Gangs: start together, fail together.
