--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -7,7 +7,7 @@
 use crate::protocol::records::Stage;
 use crate::protocol::{Micros, format};
 use crate::transport::Outcome;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use walnuttrestle_rights::cancellations::{Heard, Log};
 use walnuttrestle_rights::holder::{Holder, Lead};
 use walnuttrestle_rights::quiet::{Answer, Known, Quiet, Vouched};
@@ -167,11 +167,17 @@
     /// it stays true.
     fn gist_for(&self, clock: Clock) -> Option<Gist> {
         let known = self.known_ago(clock);
+        // What we have heard belongs to it: what we know of others rests on that, too.
+        let heard = self.siblings.heard.jobs();
         if !self.mirror.synced {
             // What we were told ourselves.
-            let (gist, _) = self.siblings.gist.as_ref()?;
-            let gist = gist.clone();
-            return Some(Gist { known, ..gist });
+            let (told, _) = self.siblings.gist.as_ref()?;
+            let cancelled: BTreeSet<&String> = told.cancelled.iter().chain(heard).collect();
+            return Some(Gist {
+                known,
+                cancelled: cancelled.into_iter().cloned().collect(),
+                ..told.clone()
+            });
         }
         let (lead, _) = self.mirror.lead.as_ref()?;
         let jobs = self.mirror.jobs.iter();
@@ -179,11 +185,7 @@
         Some(Gist {
             lead: (lead.node.clone(), lead.inc, lead.term),
             revision: self.mirror.revision,
-            cancelled: cancelled
-                .map(|(id, _)| id)
-                .chain(self.siblings.heard.jobs())
-                .cloned()
-                .collect(),
+            cancelled: cancelled.map(|(id, _)| id).chain(heard).cloned().collect(),
             known,
         })
     }
@@ -259,7 +261,7 @@
     }
 
     /// Takes in what a sibling, asked at `sent`, tells of the records.
-    fn on_gist(&mut self, clock: Clock, sent: Micros, gist: Gist) {
+    fn on_gist(&mut self, clock: Clock, sent: Micros, mut gist: Gist) {
         let before = self.siblings.gist.as_ref();
         if self.mirror.synced || before.is_some_and(|(g, _)| g.revision > gist.revision) {
             return;
@@ -269,6 +271,11 @@
                 self.siblings.vouched.learnt(i, sent.0.saturating_sub(*ago));
             }
         }
+        // Who tells of newer records may not have heard what somebody else had; a cancellation is final.
+        let earlier = before.iter().flat_map(|(g, _)| g.cancelled.iter().cloned());
+        gist.cancelled.extend(earlier);
+        gist.cancelled.sort_unstable();
+        gist.cancelled.dedup();
         let since = before.filter(|(g, _)| g.lead == gist.lead).map(|(_, t)| *t);
         if since.is_none() {
             log::info!("told of the records up to revision {}", gist.revision);
