--- a/benches/heartbeats.rs
+++ b/benches/heartbeats.rs
@@ -43,27 +43,27 @@
 
 /// A question and its answer, from one's log to what the other has heard; returns the bytes of both.
 fn exchange(log: &Log, heard: &mut Heard, complete: u64) -> usize {
-    let mark = heard.mark(0);
+    let cursor = heard.cursor(0);
     let question = Heartbeat {
         knows: Some(Knows {
             complete,
-            heard: (mark.run, mark.next),
+            heard: (cursor.run, cursor.next),
         }),
         ..beat(format::NEWEST)
     };
     let asked = question.encode();
     let knows = Heartbeat::decode(&asked).ok().and_then(|h| h.knows);
     let from = knows.map_or(0, |k| k.from(1));
-    let part = log
-        .part(from, complete, MOST_CANCELLATIONS)
+    let batch = log
+        .batch(from, complete, MOST_CANCELLATIONS)
         .unwrap_or_default();
     let answer = Heartbeat {
         news: Some(CancellationNews {
             lead: 12,
-            from: part.from,
-            next: part.next,
-            more: part.more,
-            jobs: part.jobs,
+            from: batch.from,
+            next: batch.next,
+            more: batch.more,
+            jobs: batch.jobs,
             known: vec![("kernel-0".into(), 40_000), ("kernel-2".into(), 700_000)],
         }),
         ..beat(format::NEWEST)
@@ -73,7 +73,7 @@
         news: Some(news), ..
     }) = Heartbeat::decode(&answered)
     {
-        heard.take(0, 1, &news.part(), 1);
+        heard.take(0, 1, &news.batch(), 1);
     }
     asked.len() + answered.len()
 }
@@ -81,9 +81,9 @@
 /// Has heard of all but the newest.
 fn behind(log: &Log) -> Heard {
     let mut heard = Heard::new(1);
-    let mut part = log.part(0, LEARNT, 1).unwrap_or_default();
-    part.next -= NEW;
-    heard.take(0, 1, &part, 0);
+    let mut batch = log.batch(0, LEARNT, 1).unwrap_or_default();
+    batch.next -= NEW;
+    heard.take(0, 1, &batch, 0);
     heard
 }
 
--- a/crates/rights/src/cancellations.rs
+++ b/crates/rights/src/cancellations.rs
@@ -24,16 +24,16 @@
 
 /// How much of a log somebody knows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
-pub struct Mark {
+pub struct Cursor {
     /// The run of the process whose log it is: another run has another log.
     pub run: u64,
     /// Number of the first entry that is not known.
     pub next: u64,
 }
 
-/// A part of a log.
+/// A stretch of a log, told at once.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
-pub struct Part {
+pub struct Batch {
     /// Where it begins.
     pub from: u64,
     /// Where it ends.
@@ -69,35 +69,35 @@
         });
     }
 
-    /// The next part, with at most so many jobs, for somebody who knows the log up to `from`, and whose copy of
+    /// The next batch, of at most so many jobs, for somebody who knows the log up to `from`, and whose copy of
     /// the records is complete up to a revision; none: it was dropped.
-    pub fn part(&self, from: u64, complete: u64, most: usize) -> Option<Part> {
+    pub fn batch(&self, from: u64, complete: u64, most: usize) -> Option<Batch> {
         let (version, next) = self.dropped;
         if version > complete && next > from || from > self.next {
             return None;
         }
-        let mut part = Part {
+        let mut batch = Batch {
             from,
             next: self.next,
-            ..Part::default()
+            ..Batch::default()
         };
         let start = self.entries.partition_point(|(n, ..)| *n < from);
         let missing = self.entries[start..].iter();
         for (n, job, version) in missing.filter(|(_, _, v)| *v > complete) {
-            if part.jobs.len() == most {
-                (part.next, part.more) = (*n, true);
+            if batch.jobs.len() == most {
+                (batch.next, batch.more) = (*n, true);
                 break;
             }
-            part.jobs.push((job.clone(), *version));
+            batch.jobs.push((job.clone(), *version));
         }
-        Some(part)
+        Some(batch)
     }
 }
 
 /// What a controller has heard of its siblings' logs.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Heard {
-    marks: Vec<Mark>,
+    cursors: Vec<Cursor>,
     /// When each job was first heard of that the copy may not show as cancelled yet.
     jobs: BTreeMap<String, Time>,
 }
@@ -106,43 +106,43 @@
     /// Nothing yet.
     pub fn new(siblings: usize) -> Heard {
         Heard {
-            marks: vec![Mark::default(); siblings],
+            cursors: vec![Cursor::default(); siblings],
             jobs: BTreeMap::new(),
         }
     }
 
     /// How much of a sibling's log is known.
-    pub fn mark(&self, sibling: usize) -> Mark {
-        self.marks[sibling]
+    pub fn cursor(&self, sibling: usize) -> Cursor {
+        self.cursors[sibling]
     }
 
-    /// A part of the log of this run of a sibling has come. Returns the jobs that are new, and whether all of the
-    /// log is known now, as it was when that part was taken from it.
+    /// A batch of the log of this run of a sibling has come. Returns the jobs that are new, and whether all of the
+    /// log is known now, as it was when that batch was taken from it.
     pub fn take(
         &mut self,
         sibling: usize,
         run: u64,
-        part: &Part,
+        batch: &Batch,
         now: Time,
     ) -> (Vec<(String, u64)>, bool) {
         let mut new = Vec::new();
-        for (job, version) in &part.jobs {
+        for (job, version) in &batch.jobs {
             if !self.jobs.contains_key(job) {
                 self.jobs.insert(job.clone(), now);
                 new.push((job.clone(), *version));
             }
         }
-        let mark = &mut self.marks[sibling];
-        let known = if mark.run == run { mark.next } else { 0 };
+        let cursor = &mut self.cursors[sibling];
+        let known = if cursor.run == run { cursor.next } else { 0 };
         // What is missing in between would never be asked for again.
-        if part.from > known {
+        if batch.from > known {
             return (new, false);
         }
-        *mark = Mark {
+        *cursor = Cursor {
             run,
-            next: known.max(part.next),
+            next: known.max(batch.next),
         };
-        (new, !part.more)
+        (new, !batch.more)
     }
 
     /// All records as of `read` have been seen, so what was heard before is in them, or was never true.
--- a/crates/rights/tests/every_word.rs
+++ b/crates/rights/tests/every_word.rs
@@ -5,7 +5,7 @@
 
 use walnuttrestle_explore::{Model, Seen, explore};
 use walnuttrestle_rights::Time;
-use walnuttrestle_rights::cancellations::{Heard, Log, Part};
+use walnuttrestle_rights::cancellations::{Batch, Heard, Log};
 use walnuttrestle_rights::quiet::{Answer, Known, Vouched};
 
 const LEASE: Time = 2;
@@ -22,7 +22,7 @@
     Nothing,
     /// What was heard stops no task.
     Stop,
-    /// A part is taken for the whole.
+    /// A batch is taken for the whole.
     Whole,
     /// Another run's log is taken for the same one.
     Run,
@@ -40,7 +40,7 @@
 struct Reply {
     run: u64,
     read: bool,
-    part: Part,
+    batch: Batch,
     /// How long ago it last knew of everything that F had told.
     of_f: Time,
 }
@@ -155,7 +155,7 @@
         } else {
             r.run
         };
-        let (new, all) = heard.take(i, run, &r.part, 0);
+        let (new, all) = heard.take(i, run, &r.batch, 0);
         if link == 2 && self.without != Without::PassOn {
             for (job, version) in &new {
                 n.t.log.learn(job, *version);
@@ -213,19 +213,19 @@
                 }
             }
             Step::Ask(link) if s.asks.is_none() || link == 2 => {
-                let (who, mark, complete) = match link {
+                let (who, cursor, complete) = match link {
                     F if self.hears == Hears::T => return None,
                     T | 2 if self.hears == Hears::F => return None,
-                    F => (&s.f, s.heard.mark(F), 0),
-                    T => (&s.t, s.heard.mark(T), 0),
-                    _ => (&s.f, s.t.heard.mark(0), s.t.copy?),
+                    F => (&s.f, s.heard.cursor(F), 0),
+                    T => (&s.t, s.heard.cursor(T), 0),
+                    _ => (&s.f, s.t.heard.cursor(0), s.t.copy?),
                 };
-                let same = mark.run == who.run || self.without == Without::Run;
-                let from = if same { mark.next } else { 0 };
+                let same = cursor.run == who.run || self.without == Without::Run;
+                let from = if same { cursor.next } else { 0 };
                 let reply = Reply {
                     run: who.run,
                     read: who.copy.is_some(),
-                    part: who.log.part(from, complete, 1).unwrap_or_default(),
+                    batch: who.log.batch(from, complete, 1).unwrap_or_default(),
                     of_f: if link == T {
                         now - who.vouched.of(0)
                     } else {
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -102,10 +102,10 @@
 
     fn ask_sibling(&mut self, clock: Clock, i: usize) {
         let mut beat = self.heartbeat(clock);
-        let mark = self.siblings.heard.mark(i);
+        let cursor = self.siblings.heard.cursor(i);
         beat.knows = self.complete().map(|complete| Knows {
             complete,
-            heard: (mark.run, mark.next),
+            heard: (cursor.run, cursor.next),
         });
         let s = &mut self.siblings;
         s.flying[i] = true;
@@ -205,13 +205,13 @@
         self.log_cancelled();
         let from = knows.from(self.inc);
         let log = &self.siblings.log;
-        let part = log.part(from, knows.complete, MOST_CANCELLATIONS)?;
+        let batch = log.batch(from, knows.complete, MOST_CANCELLATIONS)?;
         Some(CancellationNews {
             lead: self.mirror.lead.as_ref().map_or(0, |(_, v)| *v),
-            from: part.from,
-            next: part.next,
-            more: part.more,
-            jobs: part.jobs,
+            from: batch.from,
+            next: batch.next,
+            more: batch.more,
+            jobs: batch.jobs,
             known: self.known_ago(clock),
         })
     }
@@ -234,7 +234,7 @@
     ) -> bool {
         let now = clock.now;
         let heard = &mut self.siblings.heard;
-        let (new, all) = heard.take(i, run, &news.part(), now.0);
+        let (new, all) = heard.take(i, run, &news.batch(), now.0);
         if !new.is_empty() {
             let from = &self.settings.siblings[i].node;
             log::debug!("{from} tells of {} cancelled jobs", new.len());
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -3,7 +3,7 @@
 use super::format;
 use super::job::valid_id;
 use serde::{Deserialize, Serialize};
-use walnuttrestle_rights::cancellations::Part;
+use walnuttrestle_rights::cancellations::Batch;
 
 /// Cancellations in one heartbeat at most; the rest follows with the next.
 pub const MOST_CANCELLATIONS: usize = 512;
@@ -87,7 +87,7 @@
 pub struct CancellationNews {
     /// Version of the record of the lead in the sender's copy.
     pub lead: u64,
-    /// Begin and end of the part of the sender's log that this is, and whether there is more.
+    /// Begin and end of the batch of the sender's log that this is, and whether there is more.
     pub from: u64,
     /// See `from`.
     pub next: u64,
@@ -101,9 +101,9 @@
 }
 
 impl CancellationNews {
-    /// The part of a log in it.
-    pub fn part(&self) -> Part {
-        Part {
+    /// The batch of a log in it.
+    pub fn batch(&self) -> Batch {
+        Batch {
             from: self.from,
             next: self.next,
             more: self.more,
