--- a/tests/pairs.rs
+++ b/tests/pairs.rs
@@ -9,7 +9,7 @@
 use world::trouble::{Copies, Mute};
 use world::{CANCEL_S, Cut, LEASE_S, Party, SEC, World, job, settled};
 
-const TROUBLES: usize = 15;
+const TROUBLES: usize = 25;
 
 /// A job's id, its class, and whether it is the largest of it.
 type Asked = (String, &'static str, bool);
@@ -96,10 +96,54 @@
             w.slow_store = w.rng.random_range(100_000..2 * SEC);
             w.after(dt, |w| w.slow_store = 0);
         }
-        _ => {
+        14 => {
             w.delay_orders = Some(w.rng.random_range(SEC / 2..9 * SEC));
             w.after(dt, |w| w.delay_orders = None);
         }
+        15 => some.iter().for_each(|m| w.troubles.silence(m, until)),
+        16 => {
+            w.troubles.lost_answers = w.rng.random_range(0.05..0.4);
+            w.after(dt, |w| w.troubles.lost_answers = 0.0);
+        }
+        17 => {
+            w.troubles.for_next = 0.5;
+            w.after(dt, |w| w.troubles.for_next = 0.0);
+        }
+        18 => w.odd_requests(dt),
+        19 => {
+            w.troubles.close_looks = true;
+            w.after(dt, |w| w.troubles.close_looks = false);
+        }
+        20 => {
+            let mut gone: Vec<String> = (0..4).map(|n| format!("req-{}", 200 + n)).collect();
+            gone.retain(|id| w.jobs.get(id).is_some_and(|t| t.accepted));
+            w.cancel_burst(&gone, dt);
+        }
+        21 => {
+            w.troubles.cancel_at_end = 0.3;
+            w.after(dt, |w| w.troubles.cancel_at_end = 0.0);
+        }
+        22 => {
+            w.troubles.slow_links = w.rng.random_range(50_000..900_000);
+            w.after(dt, |w| w.troubles.slow_links = 0);
+        }
+        23 => {
+            // Machines die, and new ones are up within two seconds, with work at once.
+            w.boot = w.rng.random_range(SEC / 5..2 * SEC);
+            for m in some {
+                w.failed.insert(m.clone());
+                w.workers.get_mut(&m).expect("a machine").alive = false;
+            }
+        }
+        _ => {
+            // The lead changes again and again.
+            for k in 0..10 {
+                w.after(k * 3 * SEC, move |w| {
+                    let l = w.leader().unwrap_or(0);
+                    w.crash(l, back.min(2 * SEC));
+                });
+            }
+        }
     }
 }
 
@@ -186,7 +230,7 @@
         let which = w.rng.random_range(0..TROUBLES);
         let (at, dt) = (span(&mut w), span(&mut w));
         drawn.push((which, at, dt));
-        last = last.max(at + dt.max(20 * SEC));
+        last = last.max(at + dt.max(32 * SEC));
         w.after(at, move |w| trouble(w, which, dt));
     }
     println!("seed {seed}: {drawn:?}");
@@ -194,6 +238,11 @@
     w.troubles.end();
     w.calm();
     w.run(200);
+    // Jobs that their users called off are no longer among those that have to be served.
+    let ids: Vec<Asked> = ids
+        .into_iter()
+        .filter(|(id, ..)| !w.jobs[id].asked_cancel)
+        .collect();
     let served = |(id, ..): &&Asked| {
         let t = &w.jobs[id];
         let tasks = 0..t.spec.tasks;
--- a/tests/world/balancer.rs
+++ b/tests/world/balancer.rs
@@ -59,6 +59,10 @@
         self.balancer.calm = Some(self.now);
     }
 
+    pub(super) fn is_calm(&self) -> bool {
+        self.balancer.calm.is_some()
+    }
+
     fn probe(&mut self) {
         for i in 0..self.nodes() {
             let well = self.healthy(i) == 200;
--- a/tests/world/check.rs
+++ b/tests/world/check.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// A controller sends starts only this soon after it has read the records.
+const START_PROOF: u64 = 4 * SEC + 50_000;
+
 impl World {
     /// All jobs before this one, directly or through others.
     pub(super) fn before(&self, id: &str) -> Vec<&JobTruth> {
@@ -85,6 +88,31 @@
         }
     }
 
+    /// A controller sends commands to a worker. How long after its user was told of a cancellation a start of the job
+    /// may still be sent: as long as a proof of the records is good for starts, with a tick more.
+    pub(super) fn check_orders(&mut self, to: &Party, call: &Call) {
+        let Party::Worker(_) = to else { return };
+        let Some(orders) = decode::<Orders>(&call.body) else {
+            return;
+        };
+        for c in orders.commands {
+            let Command::Start { task, .. } = c else {
+                continue;
+            };
+            let id = task.rsplit_once('/').map_or("", |(id, _)| id);
+            let told = self.jobs.get(id).and_then(|t| t.told_cancelled);
+            if let Some(told) = told {
+                self.late_starts.push(self.now - told);
+                if self.now > told + START_PROOF {
+                    self.broken(
+                        "started_cancelled",
+                        format!("{task} by a command sent then"),
+                    );
+                }
+            }
+        }
+    }
+
     pub(super) fn check_all(&mut self) {
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
         let mut late = None;
--- a/tests/world/machines.rs
+++ b/tests/world/machines.rs
@@ -160,6 +160,11 @@
             w.report_at = now + 2 * SEC;
             let node = w.node;
             let name = name.to_string();
+            if self.troubles.is_silent(&name, now) {
+                return;
+            }
+            let copy = || (name.clone(), number, body.clone());
+            self.troubles.keep(copy, &mut self.rng);
             let mut at = now + self.latency() + self.troubles.lag(&mut self.rng);
             if let Some((to, late)) = self.troubles.copy(node, nodes, &mut self.rng) {
                 let copy = Ev::Report(name.clone(), to, number, body.clone());
@@ -311,7 +316,7 @@
                     self.machines += 1;
                     let name = format!("n-{:06}", self.machines);
                     self.booting
-                        .push((self.now + BOOT, name.clone(), r.zone.clone(), r.spot));
+                        .push((self.now + self.boot, name.clone(), r.zone.clone(), r.spot));
                     names.push(name);
                 }
                 self.rented_at.insert(r.request.clone(), self.now);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -6,12 +6,15 @@
 mod asks;
 mod balancer;
 mod check;
+mod close;
 mod machines;
 mod net;
 pub mod old;
+mod pretend;
 pub mod store;
 pub mod trouble;
 mod users;
+mod waits;
 pub mod worker;
 
 use rand::{RngExt, SeedableRng};
@@ -99,6 +102,8 @@
     Poll(String, u64),
     Cancel(String, u64),
     Health,
+    /// Something that must be refused: what, and with which status.
+    Odd(&'static str, u16),
     Report(String, u64),
     Peer(usize, u64, u64, bool),
 }
@@ -174,6 +179,12 @@
     health: u16,
     /// Troubles beyond cuts.
     pub troubles: Troubles,
+    /// How long a machine takes to come up.
+    pub boot: u64,
+    /// Since when jobs have waited though there is room.
+    pub waits: waits::Waits,
+    /// How long after users were told of a cancellation controllers have sent starts of its tasks.
+    pub late_starts: Vec<u64>,
 }
 
 pub fn settings(i: usize, nodes: usize) -> Settings {
@@ -339,6 +350,9 @@
             lease_s: LEASE_S,
             health: 0,
             troubles: Troubles::default(),
+            boot: BOOT,
+            waits: Default::default(),
+            late_starts: Vec::new(),
         };
         for i in 0..nodes {
             w.nodes.push(Slot {
@@ -570,6 +584,7 @@
         }
         self.gangs();
         self.check_all();
+        self.look_on();
         self.schedule(now + 50_000, Ev::Tick);
     }
 }
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -14,7 +14,7 @@
     }
 
     pub(super) fn latency(&mut self) -> u64 {
-        self.rng.random_range(500..4000)
+        self.rng.random_range(500..4000) + self.troubles.slow_link(&mut self.rng)
     }
 
     pub(super) fn party(&self, call: &Call) -> Party {
@@ -96,6 +96,7 @@
             }
         }
         self.count(&to, &call);
+        self.check_orders(&to, &call);
         let key = (i, run, call.id);
         self.open.insert(key, ());
         self.schedule(self.now + call.timeout.0, Ev::Timeout(i, run, call.id));
@@ -121,6 +122,7 @@
             self.schedule(at + late, Ev::Arrive(i, run, call.id, call));
             return;
         }
+        self.troubles.loses_answer(&call, &to, key, &mut self.rng);
         if let Some(late) = self.troubles.repeat(&call, &to, &mut self.rng) {
             let copy = Ev::Arrive(i, run, call.id, call.clone());
             self.schedule(at + late, copy);
@@ -156,7 +158,9 @@
         if from == Party::Store {
             at += self.slow_store;
         }
-        if self.troubles.lost(&from, &Party::Node(i), self.now) {
+        if self.troubles.lost(&from, &Party::Node(i), self.now)
+            || self.troubles.answer_is_lost(&(i, run, id))
+        {
             return;
         }
         match self.across(&Party::Node(i), &from) {
@@ -196,6 +200,7 @@
                 self.answer(who, from, run, id, status, body);
             }
             Some(Pending::Health) => self.health = status,
+            Some(Pending::Odd(what, right)) => self.odd_answered(what, right, status),
             Some(Pending::Submit(id, asked)) => self.user_heard(id, asked, "submit", status, &body),
             Some(Pending::Poll(id, asked)) => self.user_heard(id, asked, "poll", status, &body),
             Some(Pending::Cancel(id, asked)) => self.user_heard(id, asked, "cancel", status, &body),
--- /dev/null
+++ b/tests/world/pretend.rs
@@ -0,0 +1,58 @@
+//! Faults for the checker: what no controller or worker does.
+
+use super::*;
+
+impl World {
+    /// A controller sends a start.
+    pub fn pretend_start(&mut self, node: usize, machine: &str, task: &str, attempt: u64) {
+        let index: usize = machine.trim_start_matches("n-").parse().unwrap();
+        let orders = Orders {
+            term: self.term(),
+            session: self.workers[machine].session,
+            commands: vec![Command::Start {
+                task: task.into(),
+                attempt,
+            }],
+        };
+        let call = Call {
+            id: u64::MAX,
+            addr: format!("10.1.{}.{}:9000", index / 200, index % 200)
+                .parse()
+                .unwrap(),
+            method: "POST",
+            path: "/orders".into(),
+            body: encode(&orders),
+            timeout: Micros(SEC),
+        };
+        let run = self.nodes[node].run;
+        self.send(node, run, call);
+    }
+
+    /// A task runs on a machine although nobody has started it.
+    pub fn pretend_running(&mut self, machine: &str, key: worker::Key) {
+        let task = Task {
+            phase: Phase::Running,
+            why: None,
+            saved: false,
+            until: u64::MAX,
+        };
+        let w = self.workers.get_mut(machine).expect("a machine");
+        w.tasks.insert(key, task);
+    }
+
+    /// A user is told this.
+    pub fn pretend_told(&mut self, id: &str, asked: u64, what: &str, status: u16, state: &str) {
+        let body = encode(&JobState {
+            id: id.into(),
+            status: state.into(),
+            done: None,
+            running: None,
+        });
+        self.user_heard(id.into(), asked, what, status, &body);
+    }
+
+    /// A job that can never run is answered with this.
+    pub fn pretend_odd(&mut self, status: u16) {
+        self.odd_answered("pretended", 400, status);
+    }
+}
--- a/tests/world/trouble.rs
+++ b/tests/world/trouble.rs
@@ -3,6 +3,7 @@
 use super::Party;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeSet;
 use walnuttrestle::transport::Call;
 
 /// What does not reach a machine.
@@ -46,8 +47,31 @@
     pub slow_reads: Option<(usize, u64)>,
     /// From whom, to whom, until when: what is sent that way is lost.
     one_way: Vec<(Party, Party, u64)>,
+    /// Machines that reach no controller until then, while direct commands reach them.
+    silent: Vec<(String, u64)>,
+    /// That share of transactions is carried out at once, and only the answer is lost.
+    pub lost_answers: f64,
+    /// Calls whose answers are lost.
+    unanswered: BTreeSet<(usize, u64, u64)>,
+    /// Of that share of reports a copy is kept for the next leader, and comes to every controller then.
+    pub for_next: f64,
+    kept: Vec<Kept>,
+    /// The leader and the term for which copies are being kept.
+    led: (Option<usize>, u64),
+    /// Every message takes up to this much longer.
+    pub slow_links: u64,
+    /// Users look closely: at all nodes, within milliseconds, after what they were told of a job.
+    pub close_looks: bool,
+    /// That share of jobs is called off at the moment of its end.
+    pub cancel_at_end: f64,
 }
 
+/// Copies that are kept for the next leader, at most.
+const MOST_KEPT: usize = 300;
+
+/// A copy of a report: whose, its number, what it says.
+pub(super) type Kept = (String, u64, Vec<u8>);
+
 impl Troubles {
     /// Nothing reaches the machine any more, though its reports arrive.
     pub fn deafen(&mut self, machine: &str, until: u64) {
@@ -67,6 +91,49 @@
         })
     }
 
+    /// The machine reaches no controller, while direct commands reach it and are answered.
+    pub fn silence(&mut self, machine: &str, until: u64) {
+        self.silent.push((machine.to_string(), until));
+    }
+
+    pub(super) fn is_silent(&self, machine: &str, now: u64) -> bool {
+        self.silent.iter().any(|(m, u)| m == machine && now < *u)
+    }
+
+    /// Whether only the answer to this transaction is lost.
+    pub(super) fn loses_answer(
+        &mut self,
+        call: &Call,
+        to: &Party,
+        of: (usize, u64, u64),
+        rng: &mut ChaCha8Rng,
+    ) {
+        let written = *to == Party::Store && call.path == "/multi" && self.lost_answers > 0.0;
+        if written && rng.random_bool(self.lost_answers) {
+            self.unanswered.insert(of);
+        }
+    }
+
+    pub(super) fn answer_is_lost(&mut self, of: &(usize, u64, u64)) -> bool {
+        self.unanswered.remove(of)
+    }
+
+    /// Keeps a copy of a report for the next leader, perhaps.
+    pub(super) fn keep(&mut self, copy: impl FnOnce() -> Kept, rng: &mut ChaCha8Rng) {
+        if self.for_next > 0.0 && self.kept.len() < MOST_KEPT && rng.random_bool(self.for_next) {
+            self.kept.push(copy());
+        }
+    }
+
+    /// The copies that were kept, if there is another leader now.
+    pub(super) fn for_leader(&mut self, leader: Option<usize>, term: u64) -> Vec<Kept> {
+        if leader.is_none() || self.led == (leader, term) {
+            return Vec::new();
+        }
+        self.led = (leader, term);
+        std::mem::take(&mut self.kept)
+    }
+
     /// What one sends the other is lost, requests and answers, but not the reverse.
     pub fn cut_one_way(&mut self, from: Party, to: Party, until: u64) {
         self.one_way.push((from, to, until));
@@ -103,6 +170,13 @@
         }
     }
 
+    pub(super) fn slow_link(&self, rng: &mut ChaCha8Rng) -> u64 {
+        match self.slow_links {
+            0 => 0,
+            most => rng.random_range(0..most),
+        }
+    }
+
     pub(super) fn copy(
         &self,
         node: usize,
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -182,6 +182,7 @@
         if !matches!(status, 200 | 201) {
             return;
         }
+        let news = !t.accepted || matches!(state.as_str(), "done" | "cancelled");
         t.accepted = true;
         if state == "done" {
             t.told_done = t.told_done.or(Some(now));
@@ -210,8 +211,12 @@
         {
             self.broken("went_back", format!("{id}: {before}, then {state}"));
         }
+        let first = !self.told_final.contains_key(&id);
         if state == "done" || state == "cancelled" {
-            self.told_final.entry(id).or_insert((state, now));
+            self.told_final.entry(id.clone()).or_insert((state, now));
+        }
+        if self.troubles.close_looks && news && first {
+            self.look_closely(&id);
         }
     }
 }
