Who joins an acceptance on its way is told what holds once it is answered; no 422 before a look at the records

Cause: a submission repeated while the job's acceptance was on its way shared its answer.

Silent machines, which answer direct commands and reach no controller, get no starts: room is open only where a report was answered lately. Tasks that no record places count against the limit of their team. A job is kept off a machine on which it failed for 70 s, not 180: nobody may wait for 90 s.

--- a/benches/scale.rs
+++ b/benches/scale.rs
@@ -226,6 +226,7 @@
         };
         let mut worker = Worker::new(&report);
         worker.update(&report, clock.now);
+        worker.answered = Some(clock.now);
         if dead(m) {
             worker.over = Some(1);
         }
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -42,6 +42,8 @@
         id: String,
         /// What was submitted.
         spec: Box<Spec>,
+        /// It can never run, unless another controller has accepted it already.
+        vain: bool,
     },
     /// A cancellation.
     Cancel {
@@ -68,7 +70,11 @@
 }
 
 struct Accepting {
+    /// Who asked before the record was sent: once it is written, they are told what it says.
     conns: Vec<u64>,
+    /// Who asked while it was on its way. It may have been carried out before that, and its answer be late: the job
+    /// may be over by the time of the question, and whoever asked has to be told what holds then.
+    joined: Vec<u64>,
     rec: JobRec,
     since: Micros,
     /// When its user tried first, as far as we know.
@@ -79,6 +85,15 @@
     alone: bool,
 }
 
+impl Accepting {
+    /// Takes all who wait for it.
+    fn everybody(&mut self) -> Vec<u64> {
+        let mut all = std::mem::take(&mut self.conns);
+        all.append(&mut self.joined);
+        all
+    }
+}
+
 /// Users' requests in progress.
 pub struct Front {
     accepting: BTreeMap<String, Accepting>,
@@ -343,6 +358,17 @@
         };
         match verdict {
             Err(why) => self.refuse(conn, 503, why),
+            Ok(Some(_)) if catch_up => {
+                // Another controller may have accepted it under other machine types.
+                let (spec, vain) = (Box::new(spec), true);
+                let w = Waiter::Submit {
+                    conn,
+                    id,
+                    spec,
+                    vain,
+                };
+                self.want_barrier(clock, w);
+            }
             Ok(Some(why)) => self.refuse(conn, 422, why),
             Ok(None) if !catch_up && self.too_long(&spec) => {
                 let why = "the job fits into no record: its description or awaits is too long, \
@@ -357,8 +383,14 @@
             Ok(None) => match self.needs_known(&spec) {
                 Ok(true) if !self.too_long(&spec) => self.accept(clock, conn, id, spec),
                 Ok(_) if catch_up => {
-                    let spec = Box::new(spec);
-                    self.want_barrier(clock, Waiter::Submit { conn, id, spec });
+                    let (spec, vain) = (Box::new(spec), false);
+                    let w = Waiter::Submit {
+                        conn,
+                        id,
+                        spec,
+                        vain,
+                    };
+                    self.want_barrier(clock, w);
                 }
                 Ok(_) => self.refuse(conn, 422, "awaits names a job that was never accepted"),
                 Err(why) => self.refuse(conn, 422, why),
@@ -397,7 +429,10 @@
 
     fn accept(&mut self, clock: Clock, conn: u64, id: String, spec: Spec) {
         if let Some(a) = self.front.accepting.get_mut(&id) {
-            a.conns.push(conn);
+            match a.stand {
+                Stand::Flying(_) => a.joined.push(conn),
+                Stand::Waits(_) | Stand::Rests(..) => a.conns.push(conn),
+            }
             return;
         }
         // More than can be written while its user waits is refused at once: whoever came last in the
@@ -431,6 +466,7 @@
         };
         let a = Accepting {
             conns: vec![conn],
+            joined: Vec::new(),
             rec,
             since: clock.now,
             first,
@@ -454,11 +490,11 @@
 
     /// Refuses an acceptance that is not being written.
     fn give_up(&mut self, clock: Clock, id: &str) {
-        let Some(a) = self.forget_accepting(id) else {
+        let Some(mut a) = self.forget_accepting(id) else {
             return;
         };
         let after = self.come_again(clock, id, a.first, &a.rec.spec);
-        for conn in a.conns {
+        for conn in a.everybody() {
             self.refuse_until(conn, "too many submissions at once", after);
         }
     }
@@ -534,6 +570,7 @@
             match &reply {
                 Reply::Committed(rev) => {
                     let (rec, conns) = (a.rec.clone(), std::mem::take(&mut a.conns));
+                    let joined = std::mem::take(&mut a.joined);
                     let took = clock.now.since(a.since);
                     self.forget_accepting(&id);
                     log::debug!(
@@ -545,6 +582,10 @@
                     if let Some(l) = &mut self.leader {
                         l.dirty = true;
                     }
+                    for conn in joined {
+                        let (id, status) = (id.clone(), 201);
+                        self.want_barrier(clock, Waiter::Resubmit { conn, id, status });
+                    }
                     // It may be over already: a job that it needs may be cancelled.
                     let Some(known) = self.mirror.job(&id) else {
                         continue;
@@ -557,7 +598,7 @@
                 Reply::Conflict(failed) if failed.contains(&key) => {
                     // Known already; or our own earlier try was carried out after all.
                     let status = if a.tried { 201 } else { 200 };
-                    let conns = std::mem::take(&mut a.conns);
+                    let conns = a.everybody();
                     self.forget_accepting(&id);
                     for conn in conns {
                         let id = id.clone();
@@ -566,7 +607,7 @@
                 }
                 Reply::Conflict(_) => self.rest(&id, clock.now),
                 Reply::Rejected if alone => {
-                    let conns = std::mem::take(&mut a.conns);
+                    let conns = a.everybody();
                     self.forget_accepting(&id);
                     for conn in conns {
                         self.refuse(conn, 503, "the state service does not take the record");
@@ -581,7 +622,7 @@
                     self.rest(&id, clock.now + AGAIN);
                 }
                 _ => {
-                    let conns = std::mem::take(&mut a.conns);
+                    let conns = a.everybody();
                     self.forget_accepting(&id);
                     for conn in conns {
                         self.refuse(conn, 503, "the state service does not answer");
@@ -598,6 +639,9 @@
             && let Stand::Flying(ticket) = a.stand
         {
             a.stand = Stand::Rests(ticket, again);
+            // The next try is sent after they have asked.
+            let joined = std::mem::take(&mut a.joined);
+            a.conns.extend(joined);
             f.resting.insert((again, id.to_string()));
         }
     }
@@ -709,7 +753,7 @@
                 }
                 None => self.refuse(conn, 503, "the job's record cannot be read yet"),
             },
-            Waiter::Submit { conn, id, spec } => self.on_job(clock, conn, id, *spec, false),
+            Waiter::Submit { conn, id, spec, .. } => self.on_job(clock, conn, id, *spec, false),
             Waiter::Cancel { conn, id } => self.on_cancel(clock, conn, id, false),
             Waiter::Proof => {}
             Waiter::Edits(n) => self.settle_edits(n),
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -99,8 +99,9 @@
 /// After a takeover it takes a worker up to this many report intervals, and as many tries, to reach
 /// the new leader.
 const LEARNING_REPORTS: f64 = 3.0;
-/// A job is kept off a machine on which it has failed for this long.
-const AVOIDED: Micros = Micros::millis(180_000);
+/// A job is kept off a machine on which it has failed for this long, and a machine that fails what it starts gets
+/// nothing new: if it alone has room, nobody may be left waiting for 90 s.
+const AVOIDED: Micros = Micros::millis(70_000);
 /// A machine on which a job has failed gets nothing new for this long: if it is the machine, the
 /// next job there, a gang perhaps, would fail as well.
 const SUSPECT: Micros = Micros::millis(30_000);
--- a/src/coordination/survey.rs
+++ b/src/coordination/survey.rs
@@ -154,8 +154,10 @@
         if w.is_over() || l.fleet.is_gone(name) {
             continue;
         }
+        // Only answers to reports renew its lease: one that answers direct commands and reaches no controller
+        // is about to lose all that it has.
         let open = w.term == l.term
-            && now < w.heard + fresh
+            && w.answered.is_some_and(|t| now < t + fresh)
             && w.notice.is_none()
             && w.hearing.hears()
             && !l.fleet.leaving(name)
@@ -423,7 +425,7 @@
         Some(item)
     }
 
-    /// Tasks that workers report and no record places take room as well.
+    /// Tasks that workers report and no record places take room as well, of the machine and of the team's limit.
     fn unrecorded(&mut self) {
         for h in 0..self.hosts.workers.len() {
             let w = self.hosts.workers[h];
@@ -440,6 +442,8 @@
                     && let Some((_, row)) = self.scene.backlog.find(&t.job)
                 {
                     self.hosts.list[h].take(&row.need);
+                    let team = self.scene.backlog.form_of(row).team;
+                    self.room.take(team, &row.need);
                 }
             }
         }
--- a/tests/passes.rs
+++ b/tests/passes.rs
@@ -248,7 +248,9 @@
         };
         let new = || Worker::new(&report);
         let w = self.leader.workers.entry(machine.clone());
-        w.or_insert_with(new).update(&report, self.clock.now);
+        let w = w.or_insert_with(new);
+        w.update(&report, self.clock.now);
+        w.answered = Some(self.clock.now);
         self.leader.fleet.met(&machine, &report, self.clock.now);
     }
 
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -113,7 +113,7 @@
         );
         items.extend(item);
     }
-    unrecorded(l, mirror, &mut hosts);
+    unrecorded(l, mirror, &mut hosts, &mut room);
     let first = |i: &Item<'_>| i.lost > 0 && i.spec.kind == Kind::Service;
     items.sort_by_key(|i| (!first(i), i.at, i.id));
     for h in &mut hosts.list {
@@ -179,7 +179,7 @@
             continue;
         }
         let open = w.term == l.term
-            && now < w.heard + fresh
+            && w.answered.is_some_and(|t| now < t + fresh)
             && w.notice.is_none()
             && w.hearing.hears()
             && !l.fleet.leaving(name)
@@ -415,7 +415,7 @@
     })
 }
 
-fn unrecorded(l: &Leader, mirror: &Mirror, hosts: &mut Hosts) {
+fn unrecorded(l: &Leader, mirror: &Mirror, hosts: &mut Hosts, room: &mut Room) {
     for (h, name) in hosts.names.iter().enumerate() {
         let Some(w) = l.workers.get(name) else {
             continue;
@@ -429,7 +429,12 @@
                     let known = j.entry(t.task).is_some_and(on) || l.edits.places(&t.job).any(on);
                     if !known {
                         let s = &j.rec.spec;
-                        hosts.list[h].take(&[s.cpus, s.gpus, s.memory_gb]);
+                        let need = [s.cpus, s.gpus, s.memory_gb];
+                        hosts.list[h].take(&need);
+                        if let Some(r) = room.get_mut(&s.team) {
+                            r[0] -= s.cpus;
+                            r[1] -= s.gpus;
+                        }
                     }
                 }
                 None => hosts.list[h].open = false,
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -222,7 +222,7 @@
                         if self.nodes[i].old && status == 200 {
                             body = old::reads(&call.path, body);
                         }
-                        let late = self.troubles.slow_reads(i, call.method);
+                        let late = self.troubles.slow_answer(i, &call);
                         self.answer_late(to, i, run, id, status, body, late);
                     }
                     None => {
--- a/tests/world/pretend.rs
+++ b/tests/world/pretend.rs
@@ -51,6 +51,13 @@
         self.user_heard(id.into(), asked, what, status, &body);
     }
 
+    /// A controller's copy holds machine types of later: none that there was.
+    pub fn forget_types(&mut self, node: usize) {
+        if let Some(n) = self.nodes[node].node.as_mut() {
+            n.mirror.types = Some(Vec::new());
+        }
+    }
+
     /// A job that can never run is answered with this.
     pub fn pretend_odd(&mut self, status: u16) {
         self.odd_answered("pretended", 400, status);
--- a/tests/world/trouble.rs
+++ b/tests/world/trouble.rs
@@ -45,6 +45,8 @@
     pub late_writes: f64,
     /// The state service's answers to what this controller reads come so much later; what it writes is answered as ever.
     pub slow_reads: Option<(usize, u64)>,
+    /// The state service's answers to what this controller writes come so much later.
+    pub slow_writes: Option<(usize, u64)>,
     /// From whom, to whom, until when: what is sent that way is lost.
     one_way: Vec<(Party, Party, u64)>,
     /// Machines that reach no controller until then, while direct commands reach them.
@@ -139,10 +141,11 @@
         self.one_way.push((from, to, until));
     }
 
-    pub(super) fn slow_reads(&self, node: usize, method: &str) -> u64 {
-        let slow = self
-            .slow_reads
-            .filter(|(n, _)| *n == node && method == "GET");
+    /// How much later the answer to this request of the state service comes.
+    pub(super) fn slow_answer(&self, node: usize, call: &Call) -> u64 {
+        let reads = self.slow_reads.filter(|_| call.method == "GET");
+        let writes = self.slow_writes.filter(|_| call.path == "/multi");
+        let slow = reads.or(writes).filter(|(n, _)| *n == node);
         slow.map_or(0, |(_, late)| late)
     }
 
