What is rented for a job that has tasks in a zone is rented there

Cause, found by a story of jobs bound to one zone that lose machines: a job of which two replicas run in zone b and one has lost its place got machines in zone a, the first that was to be had, pass after pass; none could ever take the task, they kept machines of b from being rented, and were never returned while it lacked room. Likewise for jobs of which half of the tasks may be in one zone.

--- a/src/coordination/backlog.rs
+++ b/src/coordination/backlog.rs
@@ -69,6 +69,8 @@
     pub allow: Arc<Allow>,
     /// Saves by itself.
     pub saves: bool,
+    /// Its tasks start one by one, and where some are limits the zones of the others.
+    pub zoned: bool,
     /// Names what the search for room depends on besides amounts: forms with the same number find
     /// room in the same places.
     pub reach: u32,
@@ -283,6 +285,7 @@
             priority: spec.priority,
             allow,
             saves: spec.saves(),
+            zoned: !gang && (spec.one_zone || spec.spread),
             reach: *self.reaches.entry(reach).or_insert(next),
         };
         if let Some(n) = self.form_of.get(&form) {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -468,6 +468,8 @@
     pub need: &'a Amounts,
     /// Which machines it may use.
     pub allow: &'a Arc<Allow>,
+    /// The only zones in which further tasks may be, because of those that the job has; none: any.
+    pub zones: Option<Vec<u32>>,
 }
 
 /// Looks up what found no room. The job itself is looked up only if something may be rented for it.
@@ -478,7 +480,35 @@
     fn job(&self, of: Met<'_>) -> Option<(&'a String, &'a Job)>;
 }
 
+/// What looks for room in the same places: jobs of one reach, with tasks in the same zones.
+type Alike = (u32, Option<Vec<u32>>);
+
 impl Need<'_> {
+    fn alike(&self) -> Alike {
+        (self.reach, self.zones.clone())
+    }
+
+    /// Whether a further task may be in a zone.
+    fn may_be_in(&self, zone: Option<u32>) -> bool {
+        let bound = self.zones.as_ref();
+        bound.is_none_or(|z| zone.is_some_and(|zone| z.contains(&zone)))
+    }
+
+    /// The same as what the job allows, zone by zone where it is bound to some.
+    fn allowed(&self) -> Vec<Allow> {
+        let Some(zones) = &self.zones else {
+            return vec![Allow::clone(self.allow)];
+        };
+        let own = zones
+            .iter()
+            .filter(|z| self.allow.zone.is_none_or(|a| a == **z));
+        own.map(|z| Allow {
+            zone: Some(*z),
+            ..Allow::clone(self.allow)
+        })
+        .collect()
+    }
+
     fn shape(&self) -> Shape {
         Shape {
             need: *self.need,
@@ -515,8 +545,8 @@
 /// Machines that are not there yet, or are about to take tasks, and what has been promised of them.
 struct Coming {
     rooms: Rooms,
-    /// What found no room on them, by reach.
-    vain: HashMap<u32, Vain>,
+    /// What found no room on them.
+    vain: HashMap<Alike, Vain>,
 }
 
 impl Coming {
@@ -531,7 +561,7 @@
     /// Promises room to tasks; returns how many found none.
     fn place<'j>(&mut self, need: &Need<'_>, n: u32, job: impl Fn() -> Option<&'j Job>) -> u32 {
         let many = if need.gang { n } else { 1 };
-        let vain = self.vain.entry(need.reach).or_default();
+        let vain = self.vain.entry(need.alike()).or_default();
         if vain.covers(need.need, many) {
             return n;
         }
@@ -551,7 +581,10 @@
             return 0;
         }
         let mut left = n;
-        for h in self.rooms.enough(need.need, need.allow, n) {
+        let allowed = need.allowed();
+        let rooms = &self.rooms;
+        let found = allowed.iter().map(|a| rooms.enough(need.need, a, n));
+        for h in found.collect::<Vec<_>>().into_iter().flatten() {
             let k = slots(&self.rooms[h].free, need.need).min(left);
             self.rooms.take(h, &need.need.map(|x| x * k as f64));
             left -= k;
@@ -664,8 +697,8 @@
     let mut total: usize = count.values().sum();
     let mut ordered = 0;
     let most = policy.most_machines as usize;
-    // For what nothing is on offer, by reach.
-    let mut unoffered: HashMap<u32, Vain> = HashMap::new();
+    // For what nothing is on offer.
+    let mut unoffered: HashMap<Alike, Vain> = HashMap::new();
     for lack in lacks {
         // Promises are only made to find out what else to rent.
         if ordered >= RENTED_A_PASS || (most > 0 && total >= most) {
@@ -679,11 +712,13 @@
             if most > 0 && total >= most {
                 break;
             }
-            let none = unoffered.entry(need.reach).or_default();
+            let none = unoffered.entry(need.alike()).or_default();
             if none.covers(need.need, 1) {
                 break;
             }
-            let found = job().and_then(|j| offer(&j.rec.spec, types, &f.refused, &count, now));
+            let open = |zone: &str| need.may_be_in(names.find(zone));
+            let found =
+                job().and_then(|j| offer(&j.rec.spec, types, &f.refused, &count, open, now));
             let Some((t, zone, spot)) = found else {
                 none.add(need.need, 1);
                 break;
@@ -850,6 +885,7 @@
     types: &'t [MachineType],
     refused: &BTreeMap<Offer, Micros>,
     count: &BTreeMap<&str, usize>,
+    open: impl Fn(&str) -> bool,
     now: Micros,
 ) -> Option<(&'t MachineType, &'t str, bool)> {
     let need = placement::need(spec);
@@ -859,7 +895,7 @@
         if n == 0 {
             continue;
         }
-        for zone in &t.zones {
+        for zone in t.zones.iter().filter(|z| open(z)) {
             for spot in [false, true] {
                 let key = (t.name.clone(), zone.clone(), spot);
                 let named = |l: &Vec<String>| l.contains(&t.name);
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -787,7 +787,8 @@
         }
         // Polls can share a barrier, and so can what will be refused; they must not use up the budget that
         // acceptances need.
-        let polls = |w: &Waiter| matches!(w, Waiter::Poll { .. } | Waiter::Submit { vain: true, .. });
+        let polls =
+            |w: &Waiter| matches!(w, Waiter::Poll { .. } | Waiter::Submit { vain: true, .. });
         if clock.now < self.barrier_at + self.barrier_gap() && self.barrier_next.iter().all(polls) {
             return;
         }
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -16,7 +16,7 @@
 use super::survey::{self, Findings, KnownImages, Survey};
 use crate::bookkeeping::mirror::{Job, Mirror};
 use crate::protocol::records::Entry;
-use crate::protocol::{Kind, Micros, Settings};
+use crate::protocol::{Kind, Micros, Settings, Spec};
 use foldhash::{HashMap, HashMapExt};
 use std::collections::HashSet;
 
@@ -87,6 +87,32 @@
 struct Wants<'p, 'a> {
     near: &'p [Item<'a>],
     far: &'p Far<'a>,
+    /// Zones of what this pass has placed, of jobs for which that matters.
+    placed: HashMap<&'p str, Vec<u32>>,
+    zones: &'p [u32],
+}
+
+impl Wants<'_, '_> {
+    /// The only zones in which further tasks of a job may be; none: any. Machines rented elsewhere would never get
+    /// them, and keep those that they need from being rented.
+    fn bound(&self, id: &str, spec: &Spec, present: &[(u32, Option<usize>)]) -> Option<Vec<u32>> {
+        if spec.kind == Kind::Gang || !(spec.one_zone || spec.spread) {
+            return None;
+        }
+        let placed = self.placed.get(id).into_iter().flatten();
+        let all: Vec<u32> = present
+            .iter()
+            .map(|(z, _)| z)
+            .chain(placed)
+            .copied()
+            .collect();
+        let half = spec.tasks.div_ceil(2) as usize;
+        let open = |zone: &u32| {
+            let here = all.iter().filter(|z| *z == zone).count();
+            (!spec.one_zone || here == all.len()) && (!spec.spread || here < half)
+        };
+        (!all.is_empty()).then(|| self.zones.iter().copied().filter(open).collect())
+    }
 }
 
 impl<'a> fleet::Wants<'a> for Wants<'_, 'a> {
@@ -99,6 +125,7 @@
                     reach: item.reach,
                     need: &item.shape.need,
                     allow: &item.shape.allow,
+                    zones: self.bound(item.id, item.spec, &item.present),
                 }
             }
             Met::Far(brief) => {
@@ -108,6 +135,11 @@
                     reach: form.reach,
                     need: &brief.need,
                     allow: &form.allow,
+                    zones: form
+                        .zoned
+                        .then(|| self.far.job_of(brief))
+                        .flatten()
+                        .and_then(|(id, job)| self.bound(id, &job.rec.spec, &[])),
                 }
             }
         }
@@ -205,9 +237,20 @@
     queue::spare(&mut victims, &used);
     let far = Far::new(&scene, slots.into_iter());
     let plan = queue::pass(&near, &far, &mut rooms, &victims, &mut room, b_max);
+    let mut placed: HashMap<&str, Vec<u32>> = HashMap::new();
+    let places = plan.places.iter().filter(|_| !plan.lacks.is_empty());
+    for p in places {
+        placed.entry(&p.job).or_default().push(rooms[p.host].zone);
+    }
+    let zones = mirror.types.iter().flatten().flat_map(|t| &t.zones);
+    let mut zones: Vec<u32> = zones.filter_map(|z| scene.backlog.names.find(z)).collect();
+    zones.sort_unstable();
+    zones.dedup();
     let wants = Wants {
         near: &near,
         far: &far,
+        placed,
+        zones: &zones,
     };
     if let Some(told) = &mut told {
         let all = plan.lacks.iter();
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -132,13 +132,20 @@
         for n in 0..12u64 {
             let run = w.rng.random_range(SEC..5 * SEC);
             let kind = [Kind::Array, Kind::Gang][n as usize % 2];
-            w.user(&format!("req-{}", 100 + n), job(kind, 1 + n as u32 % 3, 1.0), run);
+            w.user(
+                &format!("req-{}", 100 + n),
+                job(kind, 1 + n as u32 % 3, 1.0),
+                run,
+            );
         }
         w.run(40);
         for t in w.jobs.values() {
             done += usize::from(t.told_done.is_some());
             cancelled += usize::from(t.told_cancelled.is_some());
-            assert!(t.told_done.is_some() != t.told_cancelled.is_some(), "seed {seed}");
+            assert!(
+                t.told_done.is_some() != t.told_cancelled.is_some(),
+                "seed {seed}"
+            );
         }
     }
     assert!(done > 10 && cancelled > 10, "{done} {cancelled}");
