What cannot be read is refused as a whole: reports with a broken task, records of jobs and bundles

A report of which one task could not be read was believed but for that task, which then looked as if it were not there.

--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -10,6 +10,7 @@
 use crate::protocol::wire::{ItemPage, MachineType, MachineTypes, WatchAnswer, from_value};
 use crate::protocol::{Kind, Micros, format};
 use rmpv::Value;
+use serde::de::DeserializeOwned;
 use std::collections::{BTreeMap, BTreeSet};
 use walnuttrestle_admission::parts::Grant;
 
@@ -146,9 +147,40 @@
     ending: BTreeSet<String>,
     /// Tasks with an attempt on record, by machine.
     placed: BTreeMap<String, BTreeSet<(String, u32)>>,
+    /// Job records and chunks that cannot be read, by key: of these jobs nothing is said and nothing started.
+    unreadable: BTreeSet<String>,
 }
 
 impl Mirror {
+    /// Whether a record of a job cannot be read: whatever else the copy holds of it may be older.
+    pub fn is_unreadable(&self, id: &str) -> bool {
+        let of = |key: &String| {
+            let chunk = key.strip_prefix(CHUNKS).and_then(|k| k.split_once('/'));
+            key.strip_prefix(JOBS) == Some(id) || chunk.is_some_and(|(job, _)| job == id)
+        };
+        !self.unreadable.is_empty() && self.unreadable.iter().any(of)
+    }
+
+    /// Whether a bundle cannot be read: it may hold places of any job.
+    pub fn is_blind(&self) -> bool {
+        let first = self.unreadable.range(BUNDLES.to_string()..).next();
+        first.is_some_and(|k| k.starts_with(BUNDLES))
+    }
+
+    /// A value as one of our records; none, with a line in the log, if it cannot be read.
+    fn read<T: DeserializeOwned>(&mut self, key: &str, value: &Value) -> Option<T> {
+        let rec = from_value(value);
+        if rec.is_some() {
+            self.unreadable.remove(key);
+        } else {
+            log::error!("the record {key} cannot be read");
+            if [JOBS, CHUNKS, BUNDLES].iter().any(|p| key.starts_with(p)) {
+                self.unreadable.insert(key.to_string());
+            }
+        }
+        rec
+    }
+
     /// Whether a job is known to be cancelled.
     pub fn is_cancelled(&self, id: &str) -> bool {
         self.stage(id) == Some(Stage::Cancelled)
@@ -318,7 +350,7 @@
     pub fn put(&mut self, key: &str, value: Value, version: u64) {
         if key == LEAD {
             if self.lead.as_ref().is_none_or(|(_, v)| *v < version)
-                && let Some(rec) = from_value::<LeadRec>(&value)
+                && let Some(rec) = self.read::<LeadRec>(key, &value)
             {
                 self.lead = Some((rec, version));
                 self.newest = self.newest.max(version);
@@ -326,50 +358,48 @@
         } else if key == LIVE {
             self.live = self.live.max(Some(version));
         } else if key == TYPES {
-            if let Some(t) = from_value::<MachineTypes>(&value) {
+            if let Some(t) = self.read::<MachineTypes>(key, &value) {
                 self.types = Some(t.types);
             }
         } else if key == BASE {
-            self.base = from_value::<u64>(&value);
+            self.base = self.read::<u64>(key, &value);
         } else if let Some(node) = key.strip_prefix(RENEWALS) {
             if self.renewals.get(node).is_none_or(|(_, v)| *v < version)
-                && let Some(rec) = from_value::<RenewRec>(&value)
+                && let Some(rec) = self.read::<RenewRec>(key, &value)
             {
                 self.renewals.insert(node.to_string(), (rec, version));
                 self.renewals_changed += 1;
             }
         } else if let Some(node) = key.strip_prefix(FORMATS) {
             if self.format_of(node).1 < version
-                && let Some(n) = from_value::<u32>(&value)
+                && let Some(n) = self.read::<u32>(key, &value)
             {
                 self.formats.insert(node.to_string(), (n, version));
             }
         } else if key == PARTS {
             if self.parts.as_ref().is_none_or(|(_, v)| *v < version)
-                && let Some(rec) = from_value::<PartsRec>(&value)
+                && let Some(rec) = self.read::<PartsRec>(key, &value)
             {
                 self.parts = Some((rec.grant(), version));
             }
         } else if key == BUNDLED {
             self.bundles.moved(version);
         } else if key.starts_with(BUNDLES) {
-            match (bundle_number(key), from_value::<Bundle>(&value)) {
-                (Some(n), Some(b)) => self.put_bundle(n, b, version),
-                _ => log::error!("mirror: the bundle {key} cannot be read"),
+            if let (Some(n), Some(b)) = (bundle_number(key), self.read::<Bundle>(key, &value)) {
+                self.put_bundle(n, b, version);
             }
         } else if let Some(id) = key.strip_prefix(JOBS) {
             if self.newest(id) >= version {
                 // Our own commit, come back by the watch: not worth reading.
                 return;
             }
-            match from_value::<JobRec>(&value) {
-                Some(rec) => self.put_job(id, rec, version),
-                None => log::error!("mirror: the record of {id} cannot be read"),
+            if let Some(rec) = self.read::<JobRec>(key, &value) {
+                self.put_job(id, rec, version);
             }
         } else if let Some(rest) = key.strip_prefix(CHUNKS)
             && let Some((id, n)) = rest.split_once('/')
             && let Ok(n) = n.parse::<u32>()
-            && let Some(chunk) = from_value::<Chunk>(&value)
+            && let Some(chunk) = self.read::<Chunk>(key, &value)
         {
             self.put_chunk(id, n, chunk, version);
         }
@@ -589,6 +619,7 @@
 
     /// Deletes one record, unless it is younger.
     pub fn delete(&mut self, key: &str, version: u64) {
+        self.unreadable.remove(key);
         if key == LIVE {
             self.live = self.live.filter(|v| *v > version);
         } else if key == LEAD {
--- a/src/bookkeeping/workers.rs
+++ b/src/bookkeeping/workers.rs
@@ -2,7 +2,7 @@
 
 use super::hearing::Hearing;
 use crate::protocol::Micros;
-use crate::protocol::wire::{Phase, Report, Why};
+use crate::protocol::wire::{Phase, Report, Why, decode};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A task as a worker last reported it.
@@ -26,6 +26,24 @@
     Some((job, n.parse().ok()?))
 }
 
+/// A worker's report, from a request or from an answer to commands. One that cannot be read as a whole is dropped as a
+/// whole: a task left out of it would look as if it were not there.
+pub fn read_report(body: &[u8]) -> Option<Report> {
+    let Some(report) = decode::<Report>(body) else {
+        log::warn!("a report is dropped: it cannot be read");
+        return None;
+    };
+    if let Some(t) = report.tasks.iter().find(|t| split_task(&t.task).is_none()) {
+        log::warn!(
+            "{}: a report is dropped: {:?} is no task",
+            report.machine,
+            t.task
+        );
+        return None;
+    }
+    Some(report)
+}
+
 /// A start of ours that was sent directly.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Start {
--- a/src/coordination/bundling.rs
+++ b/src/coordination/bundling.rs
@@ -152,6 +152,6 @@
     /// The copy holds all that earlier leaders wrote. The records of jobs alone do not show whether
     /// it does: a bundle changes none of them.
     pub fn caught_up(&self, mirror: &Mirror) -> bool {
-        mirror.revision >= self.entered
+        mirror.revision >= self.entered && !mirror.is_blind()
     }
 }
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -335,8 +335,21 @@
         self.on_job(clock, conn, id, spec, true);
     }
 
+    /// Refuses a question about a job whose record cannot be read; tells whether it did. It was accepted, and may be
+    /// over.
+    fn unreadable(&mut self, conn: u64, id: &str) -> bool {
+        let is = self.mirror.is_unreadable(id);
+        if is {
+            self.refuse(conn, 503, "the job's record cannot be read");
+        }
+        is
+    }
+
     /// A submission that is well formed; `catch_up`: the copy may be behind.
     fn on_job(&mut self, clock: Clock, conn: u64, id: String, spec: Spec, catch_up: bool) {
+        if self.unreadable(conn, &id) {
+            return;
+        }
         if let Some(known) = self.mirror.job(&id) {
             let (over, state) = state_of(&id, &known);
             if over || !catch_up {
@@ -666,6 +679,9 @@
             self.refuse(conn, 404, "no such job");
             return;
         }
+        if self.unreadable(conn, &id) {
+            return;
+        }
         match self.mirror.job(&id) {
             Some(known) => {
                 let (over, state) = state_of(&id, &known);
@@ -682,6 +698,9 @@
 
     /// POST /submissions/{id}/cancel; `catch_up`: the copy may be behind.
     pub fn on_cancel(&mut self, clock: Clock, conn: u64, id: String, catch_up: bool) {
+        if self.unreadable(conn, &id) {
+            return;
+        }
         match self.mirror.job(&id) {
             Some(Known::Live(job)) if job.active() => {
                 let rec = JobRec {
@@ -746,6 +765,9 @@
     pub fn resume(&mut self, clock: Clock, w: Waiter) {
         match w {
             Waiter::Poll { conn, id } => self.on_poll(clock, conn, id, false),
+            Waiter::Resubmit { conn, id, .. } if self.mirror.is_unreadable(&id) => {
+                self.unreadable(conn, &id);
+            }
             Waiter::Resubmit { conn, id, status } => match self.mirror.job(&id) {
                 Some(known) => {
                     let (_, state) = state_of(&id, &known);
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -11,12 +11,11 @@
 use super::turns::{Turn, Turns};
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::store::{Ask, Rank, Reply, Store};
+use crate::bookkeeping::workers::read_report;
 use crate::protocol::format;
 use crate::protocol::peer::Heartbeat;
 use crate::protocol::records::{LEAD, LIVE, LeadRec, format_key};
-use crate::protocol::wire::{
-    Change, Cond, Misdirected, Problem, Report, Txn, decode, encode, to_value,
-};
+use crate::protocol::wire::{Change, Cond, Misdirected, Problem, Report, Txn, encode, to_value};
 use crate::protocol::{Micros, Settings};
 use crate::transport::{Call, NetCmd, NetEvent, Outcome};
 use rand::{RngExt, SeedableRng};
@@ -409,7 +408,7 @@
                         self.refuse(conn, 400, "not a heartbeat");
                     }
                 },
-                "/hello" => match decode::<Report>(body) {
+                "/hello" => match read_report(body) {
                     Some(r) if self.leader.as_ref().is_some_and(|l| r.term <= l.term) => {
                         self.leader_report(clock, conn, r, true);
                     }
@@ -462,7 +461,7 @@
     }
 
     fn on_report(&mut self, clock: Clock, conn: u64, body: &[u8]) {
-        let Some(report) = decode::<Report>(body) else {
+        let Some(report) = read_report(body) else {
             self.refuse(conn, 400, "not a report");
             return;
         };
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -276,8 +276,11 @@
         backfilled: p.backfilled,
     };
     let reserved = plan.reserved.into_iter();
+    // A record that cannot be read may hold another place, or the end; nothing could be written beside it.
+    let readable = |p: &queue::Place| !mirror.is_unreadable(&p.job);
+    let places = plan.places.into_iter().filter(readable);
     let decision = Decision {
-        starts: plan.places.into_iter().map(start).collect(),
+        starts: places.map(start).collect(),
         stops: plan.stops,
         reserved: reserved
             .map(|(h, id)| (hosts.names[h].to_string(), id))
--- a/src/coordination/tasks.rs
+++ b/src/coordination/tasks.rs
@@ -5,10 +5,10 @@
 use super::siblings::known_cancelled;
 use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::store::{Ask, Rank};
-use crate::bookkeeping::workers::{AttemptKey, Seen, Standing, Start, Worker};
+use crate::bookkeeping::workers::{AttemptKey, Seen, Standing, Start, Worker, read_report};
 use crate::protocol::Micros;
 use crate::protocol::records::{LEAD, LeadRec, Stage};
-use crate::protocol::wire::{Command, Orders, Phase, Report, Txn, Why, decode, encode};
+use crate::protocol::wire::{Command, Orders, Phase, Report, Txn, Why, encode};
 use crate::transport::Outcome;
 use walnuttrestle_rights::cancellations::Heard;
 
@@ -162,7 +162,9 @@
         match l.standing(id, e) {
             Standing::NotStarted | Standing::Unclear => {
                 let loose = w.has_loose(id, *task, attempt);
-                let wanted = job.active() && !cancelled(id) && l.wanted(id, e);
+                // What we cannot read may say that it is cancelled.
+                let known = !mirror.is_unreadable(id);
+                let wanted = job.active() && known && !cancelled(id) && l.wanted(id, e);
                 if wanted && may_start && !l.edits.placing(id, *task) {
                     d.starts.push((id.clone(), *task, attempt));
                     d.commands.push(Command::Start {
@@ -345,7 +347,10 @@
             }
             Outcome::Lost => (0, Vec::new()),
         };
-        let report = decode::<Report>(&body).filter(|r| r.machine == machine);
+        let report = match status {
+            200 | 409 => read_report(&body).filter(|r| r.machine == machine),
+            _ => None,
+        };
         match (status, report) {
             (200, Some(r)) => {
                 w.hearing.answered(clock.now);
--- a/tests/world/pretend.rs
+++ b/tests/world/pretend.rs
@@ -58,6 +58,30 @@
         }
     }
 
+    /// A message with this body comes to a controller, for the path.
+    pub fn send_bytes(&mut self, node: usize, internal: bool, path: &str, body: Vec<u8>) {
+        self.serial += 1;
+        let ev = NetEvent::Request {
+            conn: self.serial,
+            internal,
+            method: "POST".into(),
+            path: path.into(),
+            body,
+        };
+        let pending = match path {
+            "/submissions" => Pending::Odd("bytes", 400),
+            _ => Pending::Report("none".into(), 0),
+        };
+        self.conns.insert((node, self.serial), pending);
+        self.deliver(node, vec![ev]);
+    }
+
+    /// What a worker would report now.
+    pub fn report_of(&mut self, machine: &str) -> Report {
+        let w = self.workers.get_mut(machine).expect("a machine");
+        w.report()
+    }
+
     /// A job that can never run is answered with this.
     pub fn pretend_odd(&mut self, status: u16) {
         self.odd_answered("pretended", 400, status);
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -57,6 +57,22 @@
         self.keys.contains_key(key)
     }
 
+    /// Puts a value there that no controller can read.
+    pub fn spoil(&mut self, key: &str) {
+        self.revision += 1;
+        let value = Value::from("spoilt");
+        let lease = self.keys.get(key).and_then(|k| k.2);
+        self.keys
+            .insert(key.into(), (value.clone(), self.revision, lease));
+        self.log(Some((key.into(), value)), None);
+    }
+
+    /// All keys that begin like this.
+    pub fn keys_under(&self, prefix: &str) -> Vec<String> {
+        let all = self.keys.keys().filter(|k| k.starts_with(prefix));
+        all.cloned().collect()
+    }
+
     /// How many keys begin like this.
     pub fn under(&self, prefix: &str) -> usize {
         self.keys.keys().filter(|k| k.starts_with(prefix)).count()
