--- /dev/null
+++ b/tests/stories/versions.rs
@@ -0,0 +1,198 @@
+//! Two versions at once, and limits of the state service that change.
+
+use crate::world::store::Limits;
+use crate::world::{SEC, World, after, job, settled};
+use walnuttrestle::protocol::peer::Heartbeat;
+use walnuttrestle::protocol::records::JobRec;
+use walnuttrestle::protocol::wire::{decode, encode};
+use walnuttrestle::protocol::{Kind, Spec};
+
+/// Large arrays, a full queue and a takeover while the state service lowers its limits.
+#[test]
+fn lower_limits_of_the_state_service_come_without_notice() {
+    let low = Limits {
+        value_kb: 2.0,
+        txn_ops: 4,
+        write_rps: 9.0,
+    };
+    for seed in 180..184 {
+        let mut w = World::with_limits(seed, 3, 10, 60.0, Some(low));
+        w.run(8);
+        for n in 0..6 {
+            let spec = Spec {
+                class: "bleed-trim".into(),
+                types: Some(vec!["box".into(), "l".repeat(190), "m".repeat(190)]),
+                deadline_s: Some(712.123_456_789),
+                ..job(Kind::Array, 240, 0.25)
+            };
+            w.user(&format!("req-{n}"), spec, 8 * SEC);
+        }
+        w.run(3);
+        w.store.limits = Some(low);
+        w.run(4);
+        let l = w.leader().unwrap();
+        w.crash(l, 3 * SEC);
+        w.user("req-77", job(Kind::Array, 1, 1.0), SEC);
+        w.run(200);
+        assert_eq!(w.store.too_large, 0);
+        assert_eq!(w.store.too_fast, 0);
+        assert!(
+            (0..6).all(|n| w.job_done(&format!("req-{n}"))),
+            "seed {seed}"
+        );
+        assert!(w.job_done("req-77"));
+    }
+}
+
+/// The new version arrives controller by controller, in every order, while jobs run; one of those that
+/// are still old crashes before its turn and comes back old; one goes back to the old version for a
+/// while. Users ask the new controllers for pipelines from the start.
+#[test]
+fn a_new_version_arrives_while_the_old_one_serves() {
+    let orders = [
+        [0, 1, 2],
+        [0, 2, 1],
+        [1, 0, 2],
+        [1, 2, 0],
+        [2, 0, 1],
+        [2, 1, 0],
+    ];
+    for (n, order) in orders.into_iter().enumerate() {
+        let low = Limits {
+            value_kb: 2.0,
+            txn_ops: 4,
+            write_rps: 20.0,
+        };
+        let mut w = World::all_old(200 + n as u64, 5, Some(low));
+        w.run(8);
+        w.user("req-1", job(Kind::Array, 130, 0.5), 6 * SEC);
+        w.user("req-2", job(Kind::Service, 2, 1.0), 0);
+        w.user("req-3", job(Kind::Array, 2, 1.0), 200 * SEC);
+        w.run(6);
+        let upgrade = |w: &mut World, i: usize| {
+            w.crash(i, 3 * SEC);
+            w.set_old(i, false);
+            w.run(6);
+            // It works on what the old ones have written, and asks for what they do not know.
+            let id = format!("req-9{i}");
+            let spec = after(&["req-1", "req-3"], job(Kind::Array, 1, 1.0));
+            w.declare(&id, spec, SEC);
+            w.submit_once(i, &id);
+            w.run(3);
+        };
+        upgrade(&mut w, order[0]);
+        assert!(
+            !w.jobs
+                .values()
+                .any(|t| t.accepted && !t.spec.needs.is_empty())
+        );
+        w.crash(order[2], 2 * SEC);
+        w.run(6);
+        if n % 2 == 0 {
+            // Back to the old version, and then on to the new one again, though its record says so.
+            w.crash(order[0], 2 * SEC);
+            w.set_old(order[0], true);
+            w.run(5);
+            upgrade(&mut w, order[1]);
+            upgrade(&mut w, order[2]);
+            assert!(
+                !w.jobs
+                    .values()
+                    .any(|t| t.accepted && !t.spec.needs.is_empty())
+            );
+            upgrade(&mut w, order[0]);
+        } else {
+            upgrade(&mut w, order[1]);
+            upgrade(&mut w, order[2]);
+        }
+        // The state service lowers its limits as soon as the new version is everywhere.
+        w.store.limits = Some(low);
+        let last = if n % 2 == 0 { order[0] } else { order[2] };
+        assert!(w.jobs[&format!("req-9{last}")].accepted, "{order:?}");
+        w.user("req-4", after(&["req-1"], job(Kind::Array, 3, 1.0)), SEC);
+        // Restarts need no new agreement.
+        w.run(4);
+        w.crash(order[1], 2 * SEC);
+        w.run(40);
+        assert!(w.job_done("req-1") && w.job_done("req-4"), "{order:?}");
+        w.cancel_surely("req-3");
+        w.run(30);
+        w.poll(0, &format!("req-9{last}"));
+        w.run(2);
+        assert_eq!(w.told(&format!("req-9{last}")), "cancelled");
+        assert_eq!(w.told("req-2"), "running");
+        assert_eq!((w.store.too_large, w.store.too_fast), (0, 0));
+    }
+}
+
+/// Bytes that the first version has written.
+#[test]
+fn what_the_first_version_wrote_means_what_it_meant() {
+    let bytes = |hex: &str| -> Vec<u8> {
+        let digits = hex.as_bytes().chunks(2);
+        digits
+            .map(|d| u8::from_str_radix(std::str::from_utf8(d).unwrap(), 16).unwrap())
+            .collect()
+    };
+    let job = bytes(OLD_JOB);
+    let rec: JobRec = decode(&job).unwrap();
+    assert!(rec.spec.needs.is_empty() && rec.spec.tasks == 130);
+    assert_eq!(rec.first.entry(3).unwrap().machine(), Some("n-000231"));
+    // What we write without needs is the same to the byte, and the old version reads it.
+    assert_eq!(encode(&rec), job);
+    assert!(decode::<crate::world::old::OldJobRec>(&job).is_some());
+    let beat = bytes("086b65726e656c2d31012901ac02014d01");
+    let mut heard = Heartbeat::decode(&beat).unwrap();
+    assert_eq!((heard.format, heard.newest), (1, Some(77)));
+    heard.format = 2;
+    let sent = heard.encode();
+    assert_eq!(Heartbeat::decode(&sent).unwrap().format, 2);
+    let old: crate::world::old::OldHeartbeat = postcard::from_bytes(&sent).unwrap();
+    assert_eq!(old.node, "kernel-1");
+    assert_eq!(crate::world::old::heartbeat(sent), beat);
+}
+
+const OLD_JOB: &str = "85a173de0012a6646f636b6574ac636f6c6f75722d7377656570a463726577ad706c6174666f726d2d63726577a57368617065a57377656570a472616e6ba87374616e64617264a6736865657473cc82a463707573cb4018000000000000a56361726473cb3ff0000000000000a96d656d6f72795f6762cb4038000000000000a5706c617465a6696d672d3037a773697a655f6762cb4011000000000000a77072657373657391aa6d656e6869722d626f78a8746f676574686572c2a773636174746572c2a76c6f616e657273c3aa65787065637465645f73cb404ec00000000000a770726f6f665f73cb0000000000000000a773746173685f73cb0000000000000000a56475655f73cb406e000000000000a26174cf000644e4f42bb000a27374a161a3656e6400a16382a16591960302a86e2d3030303233310129c3a164cc80";
+
+/// A gang over several records is placed by one transaction, or its members would start without the
+/// others; one that no transaction can place is refused.
+#[test]
+fn a_wide_gang_is_placed_as_a_whole_under_lower_limits() {
+    let low = Limits {
+        value_kb: 2.0,
+        txn_ops: 3,
+        write_rps: 30.0,
+    };
+    let mut w = World::with_limits(195, 3, 6, 60.0, Some(low));
+    w.store.limits = Some(low);
+    w.run(8);
+    w.user("req-1", job(Kind::Gang, 130, 0.125), 6 * SEC);
+    w.declare("req-2", job(Kind::Gang, 145, 0.125), SEC);
+    w.submit_once(1, "req-2");
+    w.run(40);
+    assert!(w.job_done("req-1"));
+    assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
+    assert!(w.said.iter().any(|s| s.1 == "req-2" && s.2 == 400));
+    assert_eq!(w.store.too_large, 0);
+}
+
+/// Limits that nobody has announced: smaller transactions are tried, and no job comes to harm.
+#[test]
+fn a_rejected_transaction_is_no_verdict_on_a_job() {
+    let mut w = settled(190, 10);
+    for n in 0..4 {
+        w.user(&format!("req-{n}"), job(Kind::Array, 240, 0.25), 8 * SEC);
+    }
+    w.run(3);
+    w.store.limits = Some(Limits {
+        value_kb: 8.0,
+        txn_ops: 2,
+        write_rps: 60.0,
+    });
+    for n in 10..40 {
+        w.user(&format!("req-{n}"), job(Kind::Array, 1, 0.25), SEC);
+    }
+    w.run(120);
+    assert!(w.store.too_large > 0);
+    assert!(w.jobs.keys().all(|id| w.job_done(id)));
+}
