--- a/src/coordination/budget.rs
+++ b/src/coordination/budget.rs
@@ -6,7 +6,8 @@
 //! whole (crates/admission, `parts`). What is not lent the leader uses itself. Grants end by themselves;
 //! in calm times nothing is written, and the shares are as they were.
 
-use super::node::{Clock, LEADER_SILENT, Node, Tag, cond, put};
+use super::lead::LEADER_SILENT;
+use super::node::{Clock, Node, Tag, cond, put};
 use crate::bookkeeping::store::{Ask, Rank, Reply};
 use crate::protocol::format::PARTS as FORMAT;
 use crate::protocol::records::{LEAD, PARTS, PartsRec};
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -1,6 +1,7 @@
 //! Siblings: what controllers tell one another in heartbeats, who vouches for what, and who is heard.
 
-use super::node::{CallTag, Clock, LEADER_SILENT, Node};
+use super::lead::LEADER_SILENT;
+use super::node::{CallTag, Clock, Node};
 use super::policy::Policy;
 use crate::bookkeeping::mirror::Mirror;
 use crate::protocol::peer::{CancellationNews, Gist, Heartbeat, Knows, MOST_CANCELLATIONS, More};
