--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -1,18 +1,18 @@
 //! Users: submissions, polls and cancellations, on any controller.
 
+use super::accepting::Accepting;
 use super::node::{CallTag, Clock, HANDED_ON, Node, Tag, cond, put};
 use super::placement;
 use crate::bookkeeping::mirror::{Job, Known};
 use crate::bookkeeping::store::{Ask, Rank, Reply};
 use crate::protocol::format::PIPELINES;
 use crate::protocol::job::{Malformed, parse, valid_id};
-use crate::protocol::records::{BUNDLED, CHUNK, Chunk, JobRec, Stage, job_key};
-use crate::protocol::settings::Team;
+use crate::protocol::records::{BUNDLED, CHUNK, JobRec, Stage, job_key};
 use crate::protocol::wire::{Change, JobState, MachineType, Txn, json_len};
 use crate::protocol::{Kind, Micros, Settings, Spec};
 use crate::transport::{NetCmd, Outcome};
 use std::collections::{BTreeMap, BTreeSet};
-use walnuttrestle_admission::lanes::{Lanes, Taken, Ticket};
+use walnuttrestle_admission::lanes::Lanes;
 use walnuttrestle_admission::refusal::Refusals;
 
 /// What waits for the copy to catch up.
@@ -56,56 +56,20 @@
     Edits(u64),
 }
 
-/// Where an acceptance stands.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Stand {
-    /// Waits in its lane.
-    Waits(Ticket),
-    /// Is being written.
-    Flying(Ticket),
-    /// Its transaction got no answer, or came too early: waits for another try.
-    Rests(Ticket, Micros),
-}
-
-struct Accepting {
-    /// Who asked before the record was sent: once it is written, they are told what it says.
-    conns: Vec<u64>,
-    /// Who asked while it was on its way. It may have been carried out before that, and its answer be late: the job
-    /// may be over by the time of the question, and whoever asked has to be told what holds then.
-    joined: Vec<u64>,
-    rec: JobRec,
-    since: Micros,
-    /// When its user tried first, as far as we know.
-    first: Micros,
-    stand: Stand,
-    tried: bool,
-    /// The state service has rejected it together with others: they may have been too many.
-    alone: bool,
-}
-
-impl Accepting {
-    /// Takes all who wait for it.
-    fn everybody(&mut self) -> Vec<u64> {
-        let mut all = std::mem::take(&mut self.conns);
-        all.append(&mut self.joined);
-        all
-    }
-}
-
 /// Users' requests in progress.
 pub struct Front {
-    accepting: BTreeMap<String, Accepting>,
+    pub(super) accepting: BTreeMap<String, Accepting>,
     /// Those of them that wait to be written, by team and class.
-    lanes: Lanes<String, String, String>,
+    pub(super) lanes: Lanes<String, String, String>,
     /// Those that rest, by the time of their next try.
-    resting: BTreeSet<(Micros, String)>,
-    refusals: Refusals,
+    pub(super) resting: BTreeSet<(Micros, String)>,
+    pub(super) refusals: Refusals,
     /// Submissions refused in the present second and in the one before.
-    refused: (u64, u32, u32),
+    pub(super) refused: (u64, u32, u32),
     /// Nothing of them is due before this.
-    look_at: Micros,
-    batches: usize,
-    cancelling: BTreeMap<String, Vec<u64>>,
+    pub(super) look_at: Micros,
+    pub(super) batches: usize,
+    pub(super) cancelling: BTreeMap<String, Vec<u64>>,
 }
 
 impl Front {
@@ -114,7 +78,7 @@
         self.lanes.len()
     }
 
-    fn count_refusal(&mut self, now: Micros) {
+    pub(super) fn count_refusal(&mut self, now: Micros) {
         let second = now.0 / 1_000_000;
         self.refused = match self.refused {
             (s, n, before) if s == second => (s, n + 1, before),
@@ -151,17 +115,9 @@
 
 /// Refused ids whose first attempt is remembered; 16 bytes each.
 const REFUSED_KNOWN: usize = 8_192;
-/// A submission is given up after this long; its user waits 5 s.
-const SUBMIT_PATIENCE: Micros = Micros::millis(4000);
-/// Submissions are queued up to what the store takes in this many seconds.
-const QUEUE_S: f64 = 2.5;
 /// How long a sibling may take over a request of ours; users wait 2 s for a poll, 5 s else.
 const POLL_HANDED_ON: Micros = Micros::millis(1500);
 const SUBMIT_HANDED_ON: Micros = Micros::millis(4500);
-/// After a lost answer the same transaction is tried again this much later.
-const AGAIN: Micros = Micros::millis(150);
-/// Transactions of acceptance in flight at once.
-const BATCHES: usize = 2;
 
 /// What a task's entry in a record takes, as JSON, with numbers of some age.
 const ENTRY_BYTES: usize = 27;
@@ -207,16 +163,6 @@
     None
 }
 
-/// What a team counts where it has to share: more, the more of the room it is guaranteed.
-fn weight_of(s: &Settings, team: &str) -> f64 {
-    let part = |of: fn(&Team) -> f64| {
-        let all: f64 = s.params.teams.iter().map(of).sum();
-        let own = s.team(team).map_or(0.0, of);
-        if all > 0.0 { own / all } else { 0.0 }
-    };
-    1.0 + part(|t| t.cpus).max(part(|t| t.gpus))
-}
-
 fn word(stage: Stage) -> &'static str {
     match stage {
         Stage::Done => "done",
@@ -225,7 +171,7 @@
     }
 }
 
-fn state_of(id: &str, known: &Known<'_>) -> (bool, JobState) {
+pub(super) fn state_of(id: &str, known: &Known<'_>) -> (bool, JobState) {
     match known {
         Known::Over(f) => {
             let done = (f.stage == Stage::Done).then_some(f.tasks as u64);
@@ -309,7 +255,7 @@
 
     /// Tells a user the state of a job. That one is cancelled is not told while a sibling goes by our pledge to
     /// tell nothing new: it may be renewing the lease of a worker that runs the job.
-    fn tell(&mut self, clock: Clock, conn: u64, status: u16, state: &JobState) {
+    pub(super) fn tell(&mut self, clock: Clock, conn: u64, status: u16, state: &JobState) {
         let newest = self.mirror.newest;
         if state.status == word(Stage::Cancelled)
             && !self.siblings.quiet.may_tell(newest, clock.now.0)
@@ -344,7 +290,14 @@
     }
 
     /// A submission that is well formed; `catch_up`: the copy may be behind.
-    fn on_job(&mut self, clock: Clock, conn: u64, id: String, spec: Spec, catch_up: bool) {
+    pub(super) fn on_job(
+        &mut self,
+        clock: Clock,
+        conn: u64,
+        id: String,
+        spec: Spec,
+        catch_up: bool,
+    ) {
         if self.unreadable(conn, &id) {
             return;
         }
@@ -426,239 +379,6 @@
         Ok(all)
     }
 
-    fn accept(&mut self, clock: Clock, conn: u64, id: String, spec: Spec) {
-        if let Some(a) = self.front.accepting.get_mut(&id) {
-            match a.stand {
-                Stand::Flying(_) => a.joined.push(conn),
-                Stand::Waits(_) | Stand::Rests(..) => a.conns.push(conn),
-            }
-            return;
-        }
-        // More than can be written while its user waits is refused at once: whoever came last in the
-        // lane that holds most, so that no class is refused on account of another.
-        let most = (self.store.write_rate() * QUEUE_S) as usize + 1;
-        let f = &mut self.front;
-        let busy = f.accepting.len() - f.lanes.len();
-        f.lanes.limit(most.saturating_sub(busy).max(1));
-        let first = Micros(f.refusals.first(&id, clock.now.0));
-        let weight = weight_of(&self.settings, &spec.team);
-        let (team, class) = (spec.team.clone(), spec.class.clone());
-        let ticket = match f.lanes.push(team, weight, class, first.0, id.clone()) {
-            Taken::Waits(t) => t,
-            Taken::Instead(t, other) => {
-                self.give_up(clock, &other);
-                t
-            }
-            Taken::Refused(_) => {
-                let after = self.come_again(clock, &id, first, &spec);
-                self.refuse_until(conn, "too many submissions at once", after);
-                return;
-            }
-        };
-        let rec = JobRec {
-            spec,
-            at: clock.wall,
-            stage: Stage::Active,
-            end: Micros::ZERO,
-            first: Chunk::default(),
-            cleaned: false,
-        };
-        let a = Accepting {
-            conns: vec![conn],
-            joined: Vec::new(),
-            rec,
-            since: clock.now,
-            first,
-            stand: Stand::Waits(ticket),
-            tried: false,
-            alone: false,
-        };
-        self.front.accepting.insert(id, a);
-        self.front.look_at = Micros::ZERO;
-    }
-
-    /// Seconds after which a refused submission had better come again; its first try is remembered.
-    fn come_again(&mut self, clock: Clock, id: &str, first: Micros, spec: &Spec) -> u32 {
-        let f = &mut self.front;
-        f.count_refusal(clock.now);
-        f.refusals.refuse(id, first.0, clock.now.0);
-        let ahead = f.lanes.waiting(&spec.team, &spec.class);
-        let rate = self.store.write_rate() / f.lanes.busy().max(1) as f64;
-        f.refusals.retry_after(id, ahead, rate, clock.now.0)
-    }
-
-    /// Refuses an acceptance that is not being written.
-    fn give_up(&mut self, clock: Clock, id: &str) {
-        let Some(mut a) = self.forget_accepting(id) else {
-            return;
-        };
-        let after = self.come_again(clock, id, a.first, &a.rec.spec);
-        for conn in a.everybody() {
-            self.refuse_until(conn, "too many submissions at once", after);
-        }
-    }
-
-    /// How many acceptances wait to be written.
-    pub fn accepts_due(&mut self, now: Micros) -> usize {
-        let settings = &self.settings;
-        let f = &mut self.front;
-        while let Some((at, id)) = f.resting.pop_first() {
-            if at > now {
-                f.resting.insert((at, id));
-                break;
-            }
-            if let Some(a) = f.accepting.get_mut(&id)
-                && let Stand::Rests(ticket, _) = a.stand
-            {
-                a.stand = Stand::Waits(ticket);
-                let s = &a.rec.spec;
-                let weight = weight_of(settings, &s.team);
-                f.lanes
-                    .back(s.team.clone(), weight, s.class.clone(), ticket, id);
-            }
-        }
-        if f.batches >= BATCHES {
-            return 0;
-        }
-        f.lanes.len()
-    }
-
-    /// Writes acceptances, each lane in its turn, at most `most` in a transaction.
-    pub fn write_accepts(&mut self, most: usize) {
-        let mut ids = Vec::new();
-        let mut changes = Vec::new();
-        let mut conds = Vec::new();
-        while ids.len() < most
-            && let Some((team, class, ticket, id)) = self.front.lanes.pop()
-        {
-            let Some(a) = self.front.accepting.get_mut(&id) else {
-                continue;
-            };
-            if a.alone && !ids.is_empty() {
-                let weight = weight_of(&self.settings, &team);
-                self.front.lanes.back(team, weight, class, ticket, id);
-                break;
-            }
-            a.stand = Stand::Flying(ticket);
-            let key = job_key(&id);
-            changes.push(put(&key, &a.rec, None));
-            conds.push(cond(&key, 0));
-            ids.push(id);
-            if a.alone {
-                break;
-            }
-        }
-        if ids.is_empty() {
-            return;
-        }
-        self.front.batches += 1;
-        let txn = Txn { conds, changes };
-        self.store.ask(Rank::Usual, Tag::Accept(ids), Ask::Txn(txn));
-    }
-
-    /// An acceptance came back.
-    pub fn on_accepted(&mut self, clock: Clock, ids: Vec<String>, reply: Reply) {
-        self.front.batches -= 1;
-        self.front.look_at = Micros::ZERO;
-        let alone = ids.len() == 1;
-        for id in ids {
-            let key = job_key(&id);
-            let Some(a) = self.front.accepting.get_mut(&id) else {
-                continue;
-            };
-            match &reply {
-                Reply::Committed(rev) => {
-                    let (rec, conns) = (a.rec.clone(), std::mem::take(&mut a.conns));
-                    let joined = std::mem::take(&mut a.joined);
-                    let took = clock.now.since(a.since);
-                    self.forget_accepting(&id);
-                    log::debug!(
-                        "{id} accepted: {} of {}, {took} after it came",
-                        rec.spec.tasks,
-                        rec.spec.class
-                    );
-                    self.mirror.put_job(&id, rec, *rev);
-                    if let Some(l) = &mut self.leader {
-                        l.dirty = true;
-                    }
-                    for conn in joined {
-                        let (id, status) = (id.clone(), 201);
-                        self.want_barrier(clock, Waiter::Resubmit { conn, id, status });
-                    }
-                    // It may be over already: a job that it needs may be cancelled.
-                    let Some(known) = self.mirror.job(&id) else {
-                        continue;
-                    };
-                    let (_, state) = state_of(&id, &known);
-                    for conn in conns {
-                        self.tell(clock, conn, 201, &state);
-                    }
-                }
-                Reply::Conflict(failed) if failed.contains(&key) => {
-                    // Known already; or our own earlier try was carried out after all.
-                    let status = if a.tried { 201 } else { 200 };
-                    let conns = a.everybody();
-                    self.forget_accepting(&id);
-                    for conn in conns {
-                        let id = id.clone();
-                        self.want_barrier(clock, Waiter::Resubmit { conn, id, status });
-                    }
-                }
-                Reply::Conflict(_) => self.rest(&id, clock.now),
-                Reply::Rejected if alone => {
-                    let conns = a.everybody();
-                    self.forget_accepting(&id);
-                    for conn in conns {
-                        self.refuse(conn, 503, "the state service does not take the record");
-                    }
-                }
-                Reply::Rejected => {
-                    a.alone = true;
-                    self.rest(&id, clock.now);
-                }
-                Reply::Lost | Reply::TooFast if clock.now < a.since + SUBMIT_PATIENCE => {
-                    a.tried |= reply == Reply::Lost;
-                    self.rest(&id, clock.now + AGAIN);
-                }
-                _ => {
-                    let conns = a.everybody();
-                    self.forget_accepting(&id);
-                    for conn in conns {
-                        self.refuse(conn, 503, "the state service does not answer");
-                    }
-                }
-            }
-        }
-    }
-
-    /// An acceptance was not written; it is tried again from then on.
-    fn rest(&mut self, id: &str, again: Micros) {
-        let f = &mut self.front;
-        if let Some(a) = f.accepting.get_mut(id)
-            && let Stand::Flying(ticket) = a.stand
-        {
-            a.stand = Stand::Rests(ticket, again);
-            // The next try is sent after they have asked.
-            let joined = std::mem::take(&mut a.joined);
-            a.conns.extend(joined);
-            f.resting.insert((again, id.to_string()));
-        }
-    }
-
-    fn forget_accepting(&mut self, id: &str) -> Option<Accepting> {
-        let f = &mut self.front;
-        let a = f.accepting.remove(id)?;
-        match a.stand {
-            Stand::Waits(ticket) => {
-                let s = &a.rec.spec;
-                f.lanes.remove(&s.team, &s.class, ticket);
-            }
-            Stand::Rests(_, at) => _ = f.resting.remove(&(at, id.to_string())),
-            Stand::Flying(_) => {}
-        }
-        Some(a)
-    }
-
     /// GET /submissions/{id}; `catch_up`: the copy may be behind.
     pub fn on_poll(&mut self, clock: Clock, conn: u64, id: String, catch_up: bool) {
         if !valid_id(&id) {
@@ -781,28 +501,6 @@
             Waiter::Edits(n) => self.unsettled_edits(n),
         }
     }
-
-    /// Refuses what has waited for its turn in vain; returns when to look again.
-    pub fn front_time(&mut self, clock: Clock) -> Micros {
-        if clock.now < self.front.look_at {
-            return self.front.look_at;
-        }
-        let mut late = Vec::new();
-        let mut next = Micros::FAR;
-        for (id, a) in &self.front.accepting {
-            match a.stand {
-                Stand::Flying(_) => {}
-                _ if a.since + SUBMIT_PATIENCE <= clock.now => late.push(id.clone()),
-                Stand::Rests(_, at) if at > clock.now => next = next.min(at),
-                _ => next = next.min(a.since + SUBMIT_PATIENCE),
-            }
-        }
-        for id in late {
-            self.give_up(clock, &id);
-        }
-        self.front.look_at = next;
-        next
-    }
 }
 
 /// A job's changes besides its record fit into one transaction with it.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Leadership, the queue, placement, tasks and the fleet.
 
+pub mod accepting;
 pub mod backlog;
 pub mod barriers;
 pub mod budget;
@@ -16,6 +17,7 @@
 pub mod pipeline;
 pub mod placement;
 pub mod policy;
+pub mod preemption;
 pub mod queue;
 pub mod reach;
 pub mod recovery;
--- a/src/coordination/queue/tests.rs
+++ b/src/coordination/queue/tests.rs
@@ -1,6 +1,7 @@
 //! Tests.
 
 use super::*;
+use std::collections::BTreeMap;
 use crate::coordination::backlog::Backlog;
 use crate::coordination::far::Scene;
 use crate::coordination::pipeline::Lifted;
