--- a/src/coordination/queue/tests.rs
+++ b/src/coordination/queue/tests.rs
@@ -1,11 +1,11 @@
 //! Tests.
 
 use super::*;
-use std::collections::BTreeMap;
 use crate::coordination::backlog::Backlog;
 use crate::coordination::far::Scene;
 use crate::coordination::pipeline::Lifted;
 use crate::coordination::placement::Allow;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 fn host(free: f64, images: &[u32]) -> Host {
--- a/src/coordination/tasks.rs
+++ b/src/coordination/tasks.rs
@@ -1,6 +1,6 @@
 //! Commands to workers: what follows from records and reports, sent directly and with answers.
 
-use super::leader::Leader;
+use super::leader::{Leader, START_PROOF};
 use super::node::{CallTag, Clock, Node, cond, put};
 use super::siblings::known_cancelled;
 use crate::bookkeeping::mirror::Mirror;
@@ -12,8 +12,6 @@
 use crate::transport::Outcome;
 use walnuttrestle_rights::cancellations::Heard;
 
-/// Starts are sent only this soon after a proof that our term holds.
-const START_PROOF: Micros = Micros::millis(4000);
 /// Direct commands that got no answer are tried again after this.
 const ORDER_AGAIN: Micros = Micros::millis(1000);
 /// A machine that has heard nothing for long is asked at this pace.
--- a/tests/gap.rs
+++ b/tests/gap.rs
@@ -50,6 +50,15 @@
     w.run(40);
 }
 
+/// Nothing of what was cancelled is there; the outage passes, and all else is kept.
+fn gone_and_kept(w: &mut World, seed: u64) {
+    let there = w.there("req-2") + w.there("req-3");
+    assert_eq!(there, 0, "seed {seed}: {}", w.dump());
+    w.run(DOWN_S);
+    end(w);
+    kept(w, seed);
+}
+
 fn kept(w: &World, seed: u64) {
     for t in 0..5 {
         assert_eq!(
@@ -121,15 +130,7 @@
             w.cancel(if id == "req-2" { f } else { t }, id)
         });
         w.run(3);
-        assert_eq!(
-            w.there("req-2") + w.there("req-3"),
-            0,
-            "seed {seed}: {}",
-            w.dump()
-        );
-        w.run(DOWN_S);
-        end(&mut w);
-        kept(&w, seed);
+        gone_and_kept(&mut w, seed);
     }
 }
 
@@ -172,15 +173,7 @@
             assert_eq!(w.leader(), Some(l), "seed {seed} {how}");
             gap(&mut w, |w, id| w.cancel(f, id));
             w.run(4);
-            assert_eq!(
-                w.there("req-2") + w.there("req-3"),
-                0,
-                "seed {seed} {how}: {}",
-                w.dump()
-            );
-            w.run(DOWN_S);
-            end(&mut w);
-            kept(&w, seed);
+            gone_and_kept(&mut w, seed);
         }
     }
 }
@@ -506,15 +499,7 @@
         w.store.refuses.push(t);
         gap(&mut w, |w, id| w.cancel(f, id));
         w.run(5);
-        assert_eq!(
-            w.there("req-2") + w.there("req-3"),
-            0,
-            "seed {seed}: {}",
-            w.dump()
-        );
-        w.run(DOWN_S);
-        end(&mut w);
-        kept(&w, seed);
+        gone_and_kept(&mut w, seed);
     }
 }
 
