--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -68,6 +68,8 @@
         let mut report = w.report_of(&m);
         let spoilt = report.tasks.iter_mut().find(|t| t.task == "req-1/0");
         spoilt.expect("its task").task = "req-1".into();
+        // Its machine is about to go, so it would be started elsewhere.
+        report.notice_s = Some(30.0);
         w.send_bytes(l, false, "/hello", encode(&report));
         w.run(2);
     }
