--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -56,7 +56,7 @@
 }
 
 /// A report of which one task cannot be read: were the rest believed, that task would look as if it were not there, and
-/// be started elsewhere (ran_twice).
+/// be started elsewhere.
 #[test]
 fn a_report_with_a_broken_task_is_not_believed_in_part() {
     let mut w = settled(6010, 4);
@@ -75,6 +75,7 @@
     }
     w.run(80);
     assert!(w.job_done("req-1"), "{}", w.dump());
+    assert!(w.starts.values().all(|n| *n == 1), "{:?}", w.starts);
 }
 
 /// The record of a job cannot be read by anybody: it is not forgotten, nothing of it is started again, and all others go on.
