--- a/benches/heartbeats.rs
+++ b/benches/heartbeats.rs
@@ -1,6 +1,6 @@
 //! What telling siblings of cancellations costs: a heartbeat and its answer between two controllers of three, with 1,900
 //! machines and 1,000 cancellations a minute, in calm times and while one is refused; beside a sibling of the format
-//! before. `cargo bench --bench heartbeats`; figures in `docs/limits.md`.
+//! before. `cargo bench --bench heartbeats`; figures in `docs/measured/limits.md`.
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use std::time::Duration;
--- a/benches/scale.rs
+++ b/benches/scale.rs
@@ -1,6 +1,6 @@
 //! What a leader's work costs as the fleet and the queue grow: a pass, the reading of all records at a
 //! takeover, the pass after half the machines are lost, and passes while thousands of jobs wait, beside
-//! the plain pass of before. `cargo bench --bench scale -- FILTER`; figures in `docs/limits.md`.
+//! the plain pass of before. `cargo bench --bench scale -- FILTER`; figures in `docs/measured/limits.md`.
 
 #[path = "../tests/plain/mod.rs"]
 mod plain;
--- a/src/bookkeeping/hearing.rs
+++ b/src/bookkeeping/hearing.rs
@@ -17,8 +17,8 @@
     lost: Option<Micros>,
     /// When a report last came to us directly.
     direct: Micros,
-    /// Since when it has been in doubt.
-    doubt: Option<Micros>,
+    /// Since when it has been suspected of hearing nothing.
+    suspected: Option<Micros>,
 }
 
 impl Default for Hearing {
@@ -28,7 +28,7 @@
             shown: true,
             lost: None,
             direct: Micros::ZERO,
-            doubt: None,
+            suspected: None,
         }
     }
 }
@@ -40,8 +40,8 @@
     }
 
     /// Since when it seems to hear nothing.
-    pub fn deaf_since(&self) -> Option<Micros> {
-        self.doubt
+    pub fn suspected_since(&self) -> Option<Micros> {
+        self.suspected
     }
 
     /// A new session has begun: a lease has run out, or the machine began anew.
@@ -75,9 +75,9 @@
     }
 
     fn look(&mut self, now: Micros) {
-        self.doubt = match self.hears() {
+        self.suspected = match self.hears() {
             true => None,
-            false => self.doubt.or(Some(now)),
+            false => self.suspected.or(Some(now)),
         };
     }
 }
--- a/src/bookkeeping/hearing/tests.rs
+++ b/src/bookkeeping/hearing/tests.rs
@@ -15,9 +15,9 @@
     h.began(at(12));
     h.reported(at(13));
     h.reported(at(15));
-    assert_eq!((h.hears(), h.deaf_since()), (false, Some(at(12))));
+    assert_eq!((h.hears(), h.suspected_since()), (false, Some(at(12))));
     h.answered(at(16));
-    assert_eq!((h.hears(), h.deaf_since()), (true, None));
+    assert_eq!((h.hears(), h.suspected_since()), (true, None));
 }
 
 #[test]
@@ -28,9 +28,9 @@
     // It may be off, or only we may be cut off from it: its reports come by others.
     assert!(h.hears());
     h.reported(at(6));
-    assert_eq!(h.deaf_since(), Some(at(6)));
+    assert_eq!(h.suspected_since(), Some(at(6)));
     h.unanswered(at(9));
-    assert_eq!(h.deaf_since(), Some(at(6)));
+    assert_eq!(h.suspected_since(), Some(at(6)));
     h.answered(at(10));
     assert!(h.hears());
 }
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -4,6 +4,6 @@
 pub mod hearing;
 pub mod images;
 pub mod mirror;
-pub mod pace;
 pub mod store;
+pub mod token_bucket;
 pub mod workers;
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -1,7 +1,7 @@
 //! Paced access to the state service. Owns the request and write budgets; urgent requests go
 //! first. Retrying is the callers' business: only they know what a lost answer means.
 
-use super::pace::Pace;
+use super::token_bucket::TokenBucket;
 use crate::protocol::wire::{
     Change, ItemPage, LeaseAnswer, LeaseRequest, Txn, TxnAnswer, WatchAnswer, decode, encode,
 };
@@ -87,8 +87,8 @@
 /// The store actor; `T` names requests to their owners.
 pub struct Store<T> {
     addr: SocketAddr,
-    requests: Pace,
-    writes: Pace,
+    requests: TokenBucket,
+    writes: TokenBucket,
     queues: [VecDeque<Queued<T>>; 3],
     flying: BTreeMap<u64, (T, Ask, Micros)>,
     /// Weight of the failures in a row: no answer counts 1, a refusal to serve counts 2.
@@ -100,8 +100,8 @@
     pub fn new(addr: SocketAddr, rps: f64, wps: f64, write_burst: f64) -> Store<T> {
         Store {
             addr,
-            requests: Pace::new(rps, rps * 0.5).saved(START_REQUESTS),
-            writes: Pace::new(wps, write_burst).saved(START_WRITES),
+            requests: TokenBucket::new(rps, rps * 0.5).saved(START_REQUESTS),
+            writes: TokenBucket::new(wps, write_burst).saved(START_WRITES),
             queues: [VecDeque::new(), VecDeque::new(), VecDeque::new()],
             flying: BTreeMap::new(),
             failing: 0,
--- a/src/bookkeeping/pace.rs
+++ b/src/bookkeeping/token_bucket.rs
@@ -4,17 +4,17 @@
 
 /// Hands out permits at a steady rate with a bounded burst.
 #[derive(Debug, Clone)]
-pub struct Pace {
+pub struct TokenBucket {
     rate: f64,
     burst: f64,
     level: f64,
     at: Micros,
 }
 
-impl Pace {
+impl TokenBucket {
     /// `rate` permits a second, at most `burst` at once.
-    pub fn new(rate: f64, burst: f64) -> Pace {
-        Pace {
+    pub fn new(rate: f64, burst: f64) -> TokenBucket {
+        TokenBucket {
             rate,
             burst: burst.max(1.0),
             level: burst.max(1.0),
@@ -23,7 +23,7 @@
     }
 
     /// The same with no more than this saved up at the beginning.
-    pub fn saved(mut self, level: f64) -> Pace {
+    pub fn saved(mut self, level: f64) -> TokenBucket {
         self.level = self.level.min(level);
         self
     }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -8,8 +8,8 @@
 use super::rooms::{Rooms, Vain};
 use super::survey::Hosts;
 use crate::bookkeeping::mirror::{Job, Mirror};
-use crate::bookkeeping::pace::Pace;
 use crate::bookkeeping::store::{Ask, Rank};
+use crate::bookkeeping::token_bucket::TokenBucket;
 use crate::protocol::records::{BASE, LEAD, Stage, TYPES};
 use crate::protocol::wire::{
     MachineNames, MachinePage, MachineState, MachineType, MachineTypes, Rent, Report, Txn, decode,
@@ -61,7 +61,7 @@
     refused: BTreeMap<Offer, Micros>,
     renting: BTreeMap<String, (Rent, bool)>,
     counter: u64,
-    pace: Option<Pace>,
+    pace: Option<TokenBucket>,
     wanted: VecDeque<CloudAsk>,
     /// Machines to be deleted, not yet asked for.
     condemned: BTreeSet<String>,
@@ -199,7 +199,7 @@
         }
         let pace = f
             .pace
-            .get_or_insert_with(|| Pace::new(rps * 0.7, (rps * 0.7).max(1.0)));
+            .get_or_insert_with(|| TokenBucket::new(rps * 0.7, (rps * 0.7).max(1.0)));
         let mut send = Vec::new();
         while !f.wanted.is_empty() && pace.ready(now, 1.0) {
             pace.take(1.0);
@@ -823,7 +823,7 @@
         } else {
             Micros::millis(5_000)
         };
-        if let Some(t) = w.hearing.deaf_since() {
+        if let Some(t) = w.hearing.suspected_since() {
             // It may hear again: cuts that let only one direction through end, too.
             let long = now.since(t) > wait + patience_deaf && now.since(l.since) > patience_deaf;
             if long {
--- a/src/coordination/tasks.rs
+++ b/src/coordination/tasks.rs
@@ -379,7 +379,7 @@
             }
             _ => {
                 w.hearing.unanswered(clock.now);
-                let deaf = w.hearing.deaf_since();
+                let deaf = w.hearing.suspected_since();
                 let long = deaf.is_some_and(|t| clock.now.since(t) > DEAF_FOR_LONG);
                 w.order_again = clock.now + if long { DEAF_AGAIN } else { ORDER_AGAIN };
                 if session == w.session {
