--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -2,6 +2,7 @@
 
 use super::bundles::{Bundles, lay_one};
 use super::images::Images;
+pub use super::jobs::{Final, Job, Known};
 use crate::protocol::records::{
     BASE, BUNDLED, BUNDLES, Bundle, CHUNK, CHUNKS, Chunk, Entry, FORMATS, JOBS, JobRec, LEAD, LIVE,
     LeadRec, PARTS, PartsRec, RENEWALS, RenewRec, Stage, TYPES, bundle_key, bundle_number,
@@ -14,93 +15,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use walnuttrestle_admission::parts::Grant;
 
-/// A job that is not over, or whose tasks may still be somewhere.
-#[derive(Debug, Clone)]
-pub struct Job {
-    /// Its record. A job that needs a cancelled one is cancelled by that fact: its stage says so here,
-    /// whether or not anybody ever writes it.
-    pub rec: JobRec,
-    /// The record's version.
-    pub version: u64,
-    /// Further chunks of large jobs with their versions.
-    pub chunks: BTreeMap<u32, (Chunk, u64)>,
-    /// How many of the jobs that it needs are not recorded as done.
-    pub unmet: usize,
-    /// Time of day from which its aims count: when the last job that it needs was done, or when it
-    /// was accepted. Without meaning while it waits for others.
-    pub released: Micros,
-    /// Places in record and chunks that only bundles hold.
-    pub bundled: Vec<Entry>,
-}
-
-impl Job {
-    /// Waits for other jobs: nothing of it may start.
-    pub fn waits(&self) -> bool {
-        self.unmet > 0
-    }
-
-    /// The chunk that holds a task.
-    pub fn chunk_of(&self, task: u32) -> Option<&Chunk> {
-        match task / CHUNK {
-            0 => Some(&self.rec.first),
-            n => self.chunks.get(&n).map(|(c, _)| c),
-        }
-    }
-
-    /// The newest attempt of a task.
-    pub fn entry(&self, task: u32) -> Option<&Entry> {
-        self.chunk_of(task).and_then(|c| c.entry(task))
-    }
-
-    /// Whether a task is done.
-    pub fn is_done(&self, task: u32) -> bool {
-        self.chunk_of(task).is_some_and(|c| c.is_done(task))
-    }
-
-    /// All entries.
-    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
-        let more = self.chunks.values().flat_map(|(c, _)| c.entries.iter());
-        self.rec.first.entries.iter().chain(more)
-    }
-
-    /// Tasks done.
-    pub fn done_count(&self) -> u64 {
-        let more = self
-            .chunks
-            .values()
-            .map(|(c, _)| c.done.count_ones() as u64);
-        self.rec.first.done.count_ones() as u64 + more.sum::<u64>()
-    }
-
-    /// Not over.
-    pub fn active(&self) -> bool {
-        self.rec.stage == Stage::Active
-    }
-}
-
-/// A job that is over, with nothing left to clean up.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Final {
-    /// Done or cancelled.
-    pub stage: Stage,
-    /// Its number of tasks.
-    pub tasks: u32,
-    /// Version of its record.
-    pub version: u64,
-    /// Time of day of the end.
-    pub end: Micros,
-    /// It was a service.
-    pub service: bool,
-}
-
-/// What is known of a job.
-pub enum Known<'a> {
-    /// Not over, or not yet cleaned up.
-    Live(&'a Job),
-    /// Over.
-    Over(Final),
-}
-
 /// The copy.
 #[derive(Default)]
 pub struct Mirror {
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -3,6 +3,7 @@
 pub mod bundles;
 pub mod hearing;
 pub mod images;
+pub mod jobs;
 pub mod mirror;
 pub mod store;
 pub mod token_bucket;
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -5,6 +5,7 @@
 use super::fleet::Fleet;
 use super::node::{CallTag, Clock, Node};
 use super::siblings::known_cancelled;
+use super::troubles::Trouble;
 use crate::bookkeeping::mirror::{Job, Mirror};
 use crate::bookkeeping::workers::{News, Seen, Standing, Worker};
 use crate::protocol::records::Entry;
@@ -14,17 +15,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use walnuttrestle_rights::giver::{Giver, Terms};
 
-/// Trouble with a job's tasks.
-#[derive(Debug, Clone, Default)]
-pub struct Trouble {
-    /// Machines on which it has failed, and when last: it is not tried there again for a while.
-    pub machines: BTreeMap<String, Micros>,
-    /// On how many different machines it has failed since a task of it last ran well.
-    pub row: u32,
-    /// Not tried before this, unless some of its tasks run well.
-    pub again: Micros,
-}
-
 /// State that exists only while we lead; rebuilt from records and reports.
 pub struct Leader {
     /// Our term.
@@ -99,16 +89,6 @@
 /// After a takeover it takes a worker up to this many report intervals, and as many tries, to reach
 /// the new leader.
 const LEARNING_REPORTS: f64 = 3.0;
-/// A job is kept off a machine on which it has failed for this long, and a machine that fails what it starts gets
-/// nothing new: if it alone has room, nobody may be left waiting for 90 s.
-const AVOIDED: Micros = Micros::millis(70_000);
-/// A machine on which a job has failed gets nothing new for this long: if it is the machine, the
-/// next job there, a gang perhaps, would fail as well.
-const SUSPECT: Micros = Micros::millis(30_000);
-/// A machine that fails what it starts is returned no sooner than this after the first failure.
-const SICK_FOR: Micros = Micros::millis(15_000);
-/// A job that has failed on more machines than this in a row is at fault itself.
-const JOBS_FAULT: u32 = 2;
 /// A session that has lasted for so many leases has been renewed, so its worker hears.
 const OUTLIVED: f64 = 1.5;
 /// Leases are looked through no more often than this: they last seconds.
@@ -321,54 +301,6 @@
     }
 }
 
-impl Trouble {
-    /// It has failed on so many machines in a row that the job itself is at fault.
-    pub fn jobs_fault(&self) -> bool {
-        self.row > JOBS_FAULT
-    }
-
-    /// It has not failed for a while.
-    pub fn quiet(&self, now: Micros) -> bool {
-        self.machines.values().all(|at| now.since(*at) > SUSPECT)
-    }
-}
-
-impl Leader {
-    /// The errors on a machine for which the machine may be to blame: not those of jobs that fail anywhere.
-    fn blamed<'a>(&'a self, w: &'a Worker) -> impl Iterator<Item = Micros> + 'a {
-        let own = |job: &String| self.troubles.get(job).is_none_or(|t| !t.jobs_fault());
-        let errors = w.errors.iter().filter(move |(_, job)| own(job));
-        errors.map(|(t, _)| *t)
-    }
-
-    /// Whether a machine fails tasks of several jobs in a row.
-    pub fn sick(&self, w: &Worker, policy: &super::policy::Policy) -> bool {
-        w.errors.len() as f64 >= policy.sick_after
-            && self.blamed(w).count() as f64 >= policy.sick_after
-    }
-
-    /// Whether it has been for a while: jobs at fault are known as such by then, also to a new leader.
-    pub fn stays_sick(&self, w: &Worker, policy: &super::policy::Policy, now: Micros) -> bool {
-        self.sick(w, policy) && self.blamed(w).any(|t| now.since(t) > SICK_FOR)
-    }
-
-    /// Whether a machine may be the reason why a job has just failed on it.
-    pub fn suspect(&self, w: &Worker, now: Micros) -> bool {
-        self.blamed(w).any(|t| now < t + SUSPECT)
-    }
-
-    /// Forgets what failed long ago.
-    pub fn forgive(&mut self, now: Micros) {
-        self.troubles.retain(|_, t| {
-            t.machines.retain(|_, at| now < *at + AVOIDED);
-            !t.machines.is_empty() || now < t.again
-        });
-        for w in self.workers.values_mut() {
-            w.errors.retain(|(at, _)| now < *at + AVOIDED);
-        }
-    }
-}
-
 /// Grace for a stop that lets the task save.
 pub fn grace(job: &Job) -> f64 {
     let s = &job.rec.spec;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -284,48 +284,6 @@
         });
     }
 
-    /// Hands acceptances and job records to the store in turn, as far as it can take them at
-    /// once; what must wait goes on gathering. Returns when to look again.
-    fn write_turns(&mut self, clock: Clock) -> Micros {
-        let now = clock.now;
-        let most = self.settings.params.state.least_txn_ops();
-        loop {
-            // Under a flood hundreds of changes wait, and news comes hundreds of times a second: what is
-            // due is only looked for when the store can take something.
-            let at = self.store.room_at(now, 1);
-            if at > now {
-                return at;
-            }
-            let accepts = self.accepts_due(now);
-            let (edits, next) = self.edits_due(now);
-            if accepts + edits == 0 {
-                return next;
-            }
-            self.turn = match (accepts, edits) {
-                (0, _) => true,
-                (_, 0) => false,
-                _ => !self.turn,
-            };
-            let wanted = if self.turn { edits } else { accepts };
-            // Half a transaction is worth sending; less only if there is no more.
-            let least = wanted.min(most / 2).max(1);
-            let room = self.store.room_for(now, wanted.min(most));
-            if room < least && self.store.room_at(now, least) > now {
-                return self.store.room_at(now, least).min(next);
-            }
-            if room == 0 {
-                // Something is queued already: `pump` says when it can go.
-                return next;
-            }
-            if self.turn {
-                self.write_edits(clock, room);
-            } else {
-                self.write_accepts(room);
-            }
-            self.store.pump(now, &mut self.next_id, &mut self.out);
-        }
-    }
-
     /// Makes a call to somebody other than the store.
     pub fn call(
         &mut self,
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -4,16 +4,17 @@
 
 use super::backlog::Backlog;
 use super::far::{Far, Scene};
-use super::fleet::{self, FleetPlan, Need, Wants as _};
 use super::leader::{Leader, grace};
 use super::node::{Clock, Node};
 use super::pipeline::Lifted;
 use super::placement::add;
 use super::policy::Policy;
-use super::queue::{self, Item, Met, PLACES, TeamRoom};
+use super::queue::{self, Item, Met, PLACES};
 use super::recovery::Recovery;
+use super::renting::{self, FleetPlan, Need, Wants as _};
 use super::rooms::Rooms;
 use super::survey::{self, Findings, KnownImages, Survey};
+use super::team_room::TeamRoom;
 use crate::bookkeeping::mirror::{Job, Mirror};
 use crate::protocol::records::Entry;
 use crate::protocol::{Kind, Micros, Settings, Spec};
@@ -115,7 +116,7 @@
     }
 }
 
-impl<'a> fleet::Wants<'a> for Wants<'_, 'a> {
+impl<'a> renting::Wants<'a> for Wants<'_, 'a> {
     fn need<'n>(&'n self, of: Met<'n>) -> Need<'n> {
         match of {
             Met::Near(n) => {
@@ -180,7 +181,7 @@
         let most = |v: f64| if v > 0.0 { v } else { f64::INFINITY };
         room.limit(names.id(&t.name), [most(t.cpus_max), most(t.gpus_max)]);
     }
-    fleet::name_zones(l, mirror, &mut names);
+    renting::name_zones(l, mirror, &mut names);
     kept.backlog.names = names;
     let typical = hosts.list.first().map_or([1.0; 3], |h| h.total);
     let b_max = l.b_max.max(kept.backlog.largest(typical));
@@ -257,7 +258,7 @@
         let named = all.filter_map(|l| Some((wants.job(l.of)?.0.clone(), l.tasks)));
         told.extend(named);
     }
-    let sight = fleet::Sight {
+    let sight = renting::Sight {
         leader: l,
         mirror,
         settings,
@@ -267,7 +268,7 @@
         rooms: &rooms,
         learnt,
     };
-    let fleet = fleet::plan(&sight, &scene.backlog.names, &wants, &plan.lacks);
+    let fleet = renting::plan(&sight, &scene.backlog.names, &wants, &plan.lacks);
     let start = |p: queue::Place| Start {
         machine: hosts.names[p.host].to_string(),
         session: rooms[p.host].session,
--- /dev/null
+++ b/src/coordination/troubles.rs
@@ -0,0 +1,77 @@
+//! Jobs that fail, machines that fail them, and which of the two is to blame.
+
+use super::leader::Leader;
+use super::policy::Policy;
+use crate::bookkeeping::workers::Worker;
+use crate::protocol::Micros;
+use std::collections::BTreeMap;
+
+/// A job is kept off a machine on which it has failed for this long, and a machine that fails what it starts gets
+/// nothing new: if it alone has room, nobody may be left waiting for 90 s.
+const AVOIDED: Micros = Micros::millis(70_000);
+/// A machine on which a job has failed gets nothing new for this long: if it is the machine, the
+/// next job there, a gang perhaps, would fail as well.
+const SUSPECT: Micros = Micros::millis(30_000);
+/// A machine that fails what it starts is returned no sooner than this after the first failure.
+const SICK_FOR: Micros = Micros::millis(15_000);
+/// A job that has failed on more machines than this in a row is at fault itself.
+const JOBS_FAULT: u32 = 2;
+
+/// Trouble with a job's tasks.
+#[derive(Debug, Clone, Default)]
+pub struct Trouble {
+    /// Machines on which it has failed, and when last: it is not tried there again for a while.
+    pub machines: BTreeMap<String, Micros>,
+    /// On how many different machines it has failed since a task of it last ran well.
+    pub row: u32,
+    /// Not tried before this, unless some of its tasks run well.
+    pub again: Micros,
+}
+
+impl Trouble {
+    /// It has failed on so many machines in a row that the job itself is at fault.
+    pub fn jobs_fault(&self) -> bool {
+        self.row > JOBS_FAULT
+    }
+
+    /// It has not failed for a while.
+    pub fn quiet(&self, now: Micros) -> bool {
+        self.machines.values().all(|at| now.since(*at) > SUSPECT)
+    }
+}
+
+impl Leader {
+    /// The errors on a machine for which the machine may be to blame: not those of jobs that fail anywhere.
+    fn blamed<'a>(&'a self, w: &'a Worker) -> impl Iterator<Item = Micros> + 'a {
+        let own = |job: &String| self.troubles.get(job).is_none_or(|t| !t.jobs_fault());
+        let errors = w.errors.iter().filter(move |(_, job)| own(job));
+        errors.map(|(t, _)| *t)
+    }
+
+    /// Whether a machine fails tasks of several jobs in a row.
+    pub fn sick(&self, w: &Worker, policy: &Policy) -> bool {
+        w.errors.len() as f64 >= policy.sick_after
+            && self.blamed(w).count() as f64 >= policy.sick_after
+    }
+
+    /// Whether it has been for a while: jobs at fault are known as such by then, also to a new leader.
+    pub fn stays_sick(&self, w: &Worker, policy: &Policy, now: Micros) -> bool {
+        self.sick(w, policy) && self.blamed(w).any(|t| now.since(t) > SICK_FOR)
+    }
+
+    /// Whether a machine may be the reason why a job has just failed on it.
+    pub fn suspect(&self, w: &Worker, now: Micros) -> bool {
+        self.blamed(w).any(|t| now < t + SUSPECT)
+    }
+
+    /// Forgets what failed long ago.
+    pub fn forgive(&mut self, now: Micros) {
+        self.troubles.retain(|_, t| {
+            t.machines.retain(|_, at| now < *at + AVOIDED);
+            !t.machines.is_empty() || now < t.again
+        });
+        for w in self.workers.values_mut() {
+            w.errors.retain(|(at, _)| now < *at + AVOIDED);
+        }
+    }
+}
--- a/tests/passes.rs
+++ b/tests/passes.rs
@@ -9,10 +9,11 @@
 use walnuttrestle::bookkeeping::mirror::Mirror;
 use walnuttrestle::bookkeeping::workers::Worker;
 use walnuttrestle::coordination::edits::Edit;
-use walnuttrestle::coordination::leader::{Leader, Trouble};
+use walnuttrestle::coordination::leader::Leader;
 use walnuttrestle::coordination::node::Clock;
 use walnuttrestle::coordination::pass::{self, Decision};
 use walnuttrestle::coordination::policy::Policy;
+use walnuttrestle::coordination::troubles::Trouble;
 use walnuttrestle::protocol::records::{Chunk, Entry, JobRec, Stage, TYPES};
 use walnuttrestle::protocol::settings::Team;
 use walnuttrestle::protocol::wire::{
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use walnuttrestle::bookkeeping::mirror::{Job, Mirror};
 use walnuttrestle::bookkeeping::workers::Standing;
-use walnuttrestle::coordination::leader::{FRESH_REPORTS, Leader, Trouble, grace};
+use walnuttrestle::coordination::leader::{FRESH_REPORTS, Leader, grace};
 use walnuttrestle::coordination::node::Clock;
 use walnuttrestle::coordination::pass::Start;
 use walnuttrestle::coordination::pipeline::Lifted;
@@ -19,6 +19,7 @@
 };
 use walnuttrestle::coordination::policy::Policy;
 use walnuttrestle::coordination::queue::{Item, Victim};
+use walnuttrestle::coordination::troubles::Trouble;
 use walnuttrestle::protocol::records::{CHUNK, Entry};
 use walnuttrestle::protocol::wire::{Phase, Why};
 use walnuttrestle::protocol::{Kind, Micros, Settings, Spec};
