--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -61,8 +61,9 @@
     ending: BTreeSet<String>,
     /// Tasks with an attempt on record, by machine.
     placed: BTreeMap<String, BTreeSet<(String, u32)>>,
-    /// Job records and chunks that cannot be read, by key: of these jobs nothing is said and nothing started.
-    unreadable: BTreeSet<String>,
+    /// Job records, chunks and bundles that cannot be read, with their versions: of these jobs nothing is said and
+    /// nothing started.
+    unreadable: BTreeMap<String, u64>,
 }
 
 impl Mirror {
@@ -72,29 +73,36 @@
             let chunk = key.strip_prefix(CHUNKS).and_then(|k| k.split_once('/'));
             key.strip_prefix(JOBS) == Some(id) || chunk.is_some_and(|(job, _)| job == id)
         };
-        !self.unreadable.is_empty() && self.unreadable.iter().any(of)
+        !self.unreadable.is_empty() && self.unreadable.keys().any(of)
     }
 
     /// Whether a bundle cannot be read: it may hold places of any job.
     pub fn is_blind(&self) -> bool {
         let first = self.unreadable.range(BUNDLES.to_string()..).next();
-        first.is_some_and(|k| k.starts_with(BUNDLES))
+        first.is_some_and(|(k, _)| k.starts_with(BUNDLES))
     }
 
     /// A value as one of our records; none, with a line in the log, if it cannot be read.
-    fn read<T: DeserializeOwned>(&mut self, key: &str, value: &Value) -> Option<T> {
+    fn read<T: DeserializeOwned>(&mut self, key: &str, value: &Value, version: u64) -> Option<T> {
         let rec = from_value(value);
         if rec.is_some() {
-            self.unreadable.remove(key);
+            self.readable(key, version);
         } else {
             log::error!("the record {key} cannot be read");
             if [JOBS, CHUNKS, BUNDLES].iter().any(|p| key.starts_with(p)) {
-                self.unreadable.insert(key.to_string());
+                self.unreadable.insert(key.to_string(), version);
             }
         }
         rec
     }
 
+    /// A record is not what it was any more, unless this is older.
+    fn readable(&mut self, key: &str, version: u64) {
+        if self.unreadable.get(key).is_some_and(|v| *v < version) {
+            self.unreadable.remove(key);
+        }
+    }
+
     /// Whether a job is known to be cancelled.
     pub fn is_cancelled(&self, id: &str) -> bool {
         self.stage(id) == Some(Stage::Cancelled)
@@ -264,7 +272,7 @@
     pub fn put(&mut self, key: &str, value: Value, version: u64) {
         if key == LEAD {
             if self.lead.as_ref().is_none_or(|(_, v)| *v < version)
-                && let Some(rec) = self.read::<LeadRec>(key, &value)
+                && let Some(rec) = self.read::<LeadRec>(key, &value, version)
             {
                 self.lead = Some((rec, version));
                 self.newest = self.newest.max(version);
@@ -272,34 +280,37 @@
         } else if key == LIVE {
             self.live = self.live.max(Some(version));
         } else if key == TYPES {
-            if let Some(t) = self.read::<MachineTypes>(key, &value) {
+            if let Some(t) = self.read::<MachineTypes>(key, &value, version) {
                 self.types = Some(t.types);
             }
         } else if key == BASE {
-            self.base = self.read::<u64>(key, &value);
+            self.base = self.read::<u64>(key, &value, version);
         } else if let Some(node) = key.strip_prefix(RENEWALS) {
             if self.renewals.get(node).is_none_or(|(_, v)| *v < version)
-                && let Some(rec) = self.read::<RenewRec>(key, &value)
+                && let Some(rec) = self.read::<RenewRec>(key, &value, version)
             {
                 self.renewals.insert(node.to_string(), (rec, version));
                 self.renewals_changed += 1;
             }
         } else if let Some(node) = key.strip_prefix(FORMATS) {
             if self.format_of(node).1 < version
-                && let Some(n) = self.read::<u32>(key, &value)
+                && let Some(n) = self.read::<u32>(key, &value, version)
             {
                 self.formats.insert(node.to_string(), (n, version));
             }
         } else if key == PARTS {
             if self.parts.as_ref().is_none_or(|(_, v)| *v < version)
-                && let Some(rec) = self.read::<PartsRec>(key, &value)
+                && let Some(rec) = self.read::<PartsRec>(key, &value, version)
             {
                 self.parts = Some((rec.grant(), version));
             }
         } else if key == BUNDLED {
             self.bundles.moved(version);
         } else if key.starts_with(BUNDLES) {
-            if let (Some(n), Some(b)) = (bundle_number(key), self.read::<Bundle>(key, &value)) {
+            if let (Some(n), Some(b)) = (
+                bundle_number(key),
+                self.read::<Bundle>(key, &value, version),
+            ) {
                 self.put_bundle(n, b, version);
             }
         } else if let Some(id) = key.strip_prefix(JOBS) {
@@ -307,13 +318,13 @@
                 // Our own commit, come back by the watch: not worth reading.
                 return;
             }
-            if let Some(rec) = self.read::<JobRec>(key, &value) {
+            if let Some(rec) = self.read::<JobRec>(key, &value, version) {
                 self.put_job(id, rec, version);
             }
         } else if let Some(rest) = key.strip_prefix(CHUNKS)
             && let Some((id, n)) = rest.split_once('/')
             && let Ok(n) = n.parse::<u32>()
-            && let Some(chunk) = self.read::<Chunk>(key, &value)
+            && let Some(chunk) = self.read::<Chunk>(key, &value, version)
         {
             self.put_chunk(id, n, chunk, version);
         }
@@ -533,7 +544,7 @@
 
     /// Deletes one record, unless it is younger.
     pub fn delete(&mut self, key: &str, version: u64) {
-        self.unreadable.remove(key);
+        self.readable(key, version);
         if key == LIVE {
             self.live = self.live.filter(|v| *v > version);
         } else if key == LEAD {
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -129,3 +129,22 @@
     m.put_job("req-2", record(Stage::Done, Vec::new()), 9);
     assert!(m.take_cancelled().is_empty() && m.is_done("req-2") && m.is_cancelled("req-1"));
 }
+
+/// A record that cannot be read holds until a newer one or its deletion: an older one that comes late says nothing.
+#[test]
+fn a_record_that_cannot_be_read_holds_until_a_newer_one_comes() {
+    let (mut m, key) = (Mirror::default(), job_key("req-1"));
+    let active = to_value(&record(Stage::Active, Vec::new()));
+    m.put(&key, active.clone(), 3);
+    m.put(&key, "spoilt".into(), 7);
+    assert!(m.is_unreadable("req-1") && !m.is_unreadable("req-11"));
+    m.put(&key, active.clone(), 5);
+    m.delete(&key, 6);
+    assert!(m.is_unreadable("req-1"));
+    m.put(&key, active, 8);
+    assert!(!m.is_unreadable("req-1"));
+    m.put(&bundle_key(4), "spoilt".into(), 9);
+    assert!(m.is_blind());
+    m.delete(&bundle_key(4), 10);
+    assert!(!m.is_blind());
+}
