--- a/src/coordination/backlog.rs
+++ b/src/coordination/backlog.rs
@@ -285,7 +285,7 @@
             priority: spec.priority,
             allow,
             saves: spec.saves(),
-            zoned: !gang && (spec.one_zone || spec.spread),
+            zoned: spec.zoned(),
             reach: *self.reaches.entry(reach).or_insert(next),
         };
         if let Some(n) = self.form_of.get(&form) {
--- a/src/coordination/barriers.rs
+++ b/src/coordination/barriers.rs
@@ -5,6 +5,8 @@
 use crate::bookkeeping::store::{Ask, Rank};
 use crate::protocol::Micros;
 
+/// Barriers of users' questions are as many of our requests' time apart: the rest of the budget is for what users wait for
+/// longer.
 const BARRIER_SHARE: f64 = 3.0;
 
 impl Node {
--- a/src/coordination/front.rs
+++ b/src/coordination/front.rs
@@ -467,20 +467,25 @@
         }
     }
 
+    /// A submission of a job that is known, or whose record is there for certain.
+    fn on_known(&mut self, clock: Clock, conn: u64, id: &str, status: u16) {
+        if self.unreadable(conn, id) {
+            return;
+        }
+        match self.mirror.job(id) {
+            Some(known) => {
+                let (_, state) = state_of(id, &known);
+                self.tell(clock, conn, status, &state);
+            }
+            None => self.refuse(conn, 503, "the job's record cannot be read yet"),
+        }
+    }
+
     /// The copy has caught up.
     pub fn resume(&mut self, clock: Clock, w: Waiter) {
         match w {
             Waiter::Poll { conn, id } => self.on_poll(clock, conn, id, false),
-            Waiter::Resubmit { conn, id, .. } if self.mirror.is_unreadable(&id) => {
-                self.unreadable(conn, &id);
-            }
-            Waiter::Resubmit { conn, id, status } => match self.mirror.job(&id) {
-                Some(known) => {
-                    let (_, state) = state_of(&id, &known);
-                    self.tell(clock, conn, status, &state);
-                }
-                None => self.refuse(conn, 503, "the job's record cannot be read yet"),
-            },
+            Waiter::Resubmit { conn, id, status } => self.on_known(clock, conn, &id, status),
             Waiter::Submit { conn, id, spec } => self.on_job(clock, conn, id, *spec, false),
             Waiter::Cancel { conn, id } => self.on_cancel(clock, conn, id, false),
             Waiter::Proof => {}
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -97,7 +97,7 @@
     /// The only zones in which further tasks of a job may be; none: any. Machines rented elsewhere would never get
     /// them, and keep those that they need from being rented.
     fn bound(&self, id: &str, spec: &Spec, present: &[(u32, Option<usize>)]) -> Option<Vec<u32>> {
-        if spec.kind == Kind::Gang || !(spec.one_zone || spec.spread) {
+        if !spec.zoned() {
             return None;
         }
         let placed = self.placed.get(id).into_iter().flatten();
--- a/src/coordination/replies.rs
+++ b/src/coordination/replies.rs
@@ -11,8 +11,8 @@
 
 /// Renewed at this pace.
 pub(super) const RENEW_EVERY: Micros = Micros::millis(1200);
-/// The standing watch is opened anew after this many of our requests' time at the soonest, and
-/// barriers of users' questions are as far apart: the rest of the budget is for what users wait for longer.
+/// The standing watch is opened anew after this many of our requests' time at the soonest: the rest of the budget is for
+/// what users wait for longer.
 const FOLLOW_SHARE: f64 = 5.0;
 
 impl Node {
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -103,6 +103,11 @@
         self.checkpoint_s > 0.0
     }
 
+    /// Its tasks start one by one, and where some are limits the zones of the others.
+    pub fn zoned(&self) -> bool {
+        self.kind != Kind::Gang && (self.one_zone || self.spread)
+    }
+
     /// A job of one task, for tests to vary.
     #[cfg(test)]
     pub fn sample(kind: Kind) -> Spec {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -188,11 +188,7 @@
         w.run(40);
         w.troubles.end();
         w.run(100);
-        assert_eq!(
-            (w.told("req-2").as_str(), w.there("req-2")),
-            ("cancelled", 0),
-            "seed {seed}"
-        );
+        w.assert_cancelled(seed, &["req-2"]);
         assert_eq!(w.there("req-1"), 4, "seed {seed}: {}", w.dump());
         for n in 0..12 {
             let id = format!("req-{}", 100 + n);
--- a/tests/hunt.rs
+++ b/tests/hunt.rs
@@ -23,19 +23,6 @@
     w.crash(l, back);
 }
 
-/// What is cancelled is gone, as its user was told.
-fn assert_cancelled(w: &World, seed: u64, ids: &[&str]) {
-    for id in ids {
-        let is = (w.told(id), w.there(id));
-        assert_eq!(
-            is,
-            ("cancelled".into(), 0),
-            "seed {seed}: {id}\n{}",
-            w.dump()
-        );
-    }
-}
-
 fn assert_done(w: &World, seed: u64, ids: &[&str]) {
     for id in ids {
         assert!(w.job_done(id), "seed {seed}: {id}\n{}", w.dump());
@@ -77,7 +64,7 @@
         let late: Vec<_> = w.began.iter().filter(late).collect();
         assert!(late.is_empty(), "seed {seed}: {late:?}");
         w.run(90);
-        assert_cancelled(&w, seed, &["req-2"]);
+        w.assert_cancelled(seed, &["req-2"]);
         assert_eq!(w.there("req-1"), 6, "seed {seed}: {}", w.dump());
         for n in 0..26 {
             assert_done(&w, seed, &[&format!("req-{}", 100 + n)]);
@@ -131,7 +118,7 @@
         w.troubles.end();
         w.cancel_surely("req-2");
         w.run(70);
-        assert_cancelled(&w, seed, &["req-0", "req-1", "req-2"]);
+        w.assert_cancelled(seed, &["req-0", "req-1", "req-2"]);
         assert_done(&w, seed, &["req-10", "req-11", "req-12", "req-13"]);
     }
 }
@@ -181,7 +168,7 @@
         w.delay_orders = None;
         w.run(60);
         let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
-        assert_cancelled(&w, seed, &ids);
+        w.assert_cancelled(seed, &ids);
         assert_eq!(w.there("req-1"), 4, "seed {seed}: {}", w.dump());
     }
 }
@@ -210,7 +197,7 @@
         w.run(30);
         w.troubles.end();
         w.run(100);
-        assert_cancelled(&w, seed, &["req-10"]);
+        w.assert_cancelled(seed, &["req-10"]);
         assert_done(
             &w,
             seed,
@@ -262,7 +249,7 @@
         w.run(50);
         w.troubles.end();
         w.run(100);
-        assert_cancelled(&w, seed, &["req-2"]);
+        w.assert_cancelled(seed, &["req-2"]);
         assert_done(&w, seed, &["req-3", "req-10", "req-17"]);
         assert_eq!(w.there("req-1"), 5, "seed {seed}: {}", w.dump());
     }
@@ -355,7 +342,7 @@
         }
         w.run(60);
         w.run(150);
-        assert_cancelled(&w, seed, &["req-2"]);
+        w.assert_cancelled(seed, &["req-2"]);
         assert_done(&w, seed, &["req-3"]);
         assert_eq!(w.there("req-1"), 6, "seed {seed}: {}", w.dump());
     }
@@ -491,7 +478,7 @@
         w.cloud_down = false;
         w.run(60);
         let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
-        assert_cancelled(&w, seed, &ids);
+        w.assert_cancelled(seed, &ids);
         assert_eq!(w.there("req-1"), 4, "seed {seed}: {}", w.dump());
     }
 }
--- a/tests/late.rs
+++ b/tests/late.rs
@@ -136,11 +136,7 @@
         w.run(60);
         w.troubles.end();
         w.run(60);
-        assert_eq!(
-            (w.told("req-2").as_str(), w.there("req-2")),
-            ("cancelled", 0),
-            "seed {seed}"
-        );
+        w.assert_cancelled(seed, &["req-2"]);
         assert!(w.job_done("req-3"), "seed {seed}: {}", w.dump());
         assert_eq!(w.there("req-1"), 5, "seed {seed}: {}", w.dump());
     }
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -116,11 +116,7 @@
         }
         w.user_of(&others, "req-6", red(3), 10 * SEC);
         w.run(150);
-        assert_eq!(
-            (w.told("req-2").as_str(), w.there("req-2")),
-            ("cancelled", 0),
-            "seed {seed}"
-        );
+        w.assert_cancelled(seed, &["req-2"]);
         for id in ["req-3", "req-4", "req-5", "req-6"] {
             assert!(w.job_done(id), "seed {seed}: {id}\n{}", w.dump());
         }
@@ -250,11 +246,7 @@
         let at = w.rng.random_range(0..12 * SEC);
         w.after(at, |w| w.cancel_surely("req-3"));
         w.run(220);
-        assert_eq!(
-            (w.told("req-3").as_str(), w.there("req-3")),
-            ("cancelled", 0),
-            "seed {seed}"
-        );
+        w.assert_cancelled(seed, &["req-3"]);
         assert!(
             w.job_done("req-2") && w.job_done("req-4"),
             "seed {seed}: {}",
@@ -306,11 +298,7 @@
         w.run(45);
         w.troubles.end();
         w.run(110);
-        assert_eq!(
-            (w.told("req-3").as_str(), w.there("req-3")),
-            ("cancelled", 0),
-            "seed {seed}"
-        );
+        w.assert_cancelled(seed, &["req-3"]);
         assert!(w.job_done("req-2"), "seed {seed}: {}", w.dump());
         assert_eq!(w.there("req-1"), 5, "seed {seed}: {}", w.dump());
     }
@@ -407,11 +395,7 @@
         w.run(60);
         w.troubles.end();
         w.run(150);
-        assert_eq!(
-            (w.told("req-4").as_str(), w.there("req-4")),
-            ("cancelled", 0),
-            "seed {seed}"
-        );
+        w.assert_cancelled(seed, &["req-4"]);
         for (id, t) in w
             .jobs
             .iter()
@@ -554,11 +538,7 @@
         w.run(60);
         w.troubles.end();
         w.run(110);
-        assert_eq!(
-            (w.told("req-3").as_str(), w.there("req-3")),
-            ("cancelled", 0),
-            "seed {seed}"
-        );
+        w.assert_cancelled(seed, &["req-3"]);
         for (id, t) in w
             .jobs
             .iter()
--- a/tests/renewing.rs
+++ b/tests/renewing.rs
@@ -44,11 +44,7 @@
         let (mut w, _, t) = renewed(6300 + seed);
         w.cancel(t, "req-2");
         w.run(CANCEL_S + 5);
-        assert_eq!(
-            (w.told("req-2").as_str(), w.there("req-2")),
-            ("cancelled", 0),
-            "seed {seed}"
-        );
+        w.assert_cancelled(seed, &["req-2"]);
         assert_eq!(w.there("req-1"), 4, "seed {seed}: renewed on\n{}", w.dump());
     }
 }
@@ -65,10 +61,6 @@
         w.run(2);
         w.cancel(t, "req-2");
         w.run(CANCEL_S + 5);
-        assert_eq!(
-            (w.told("req-2").as_str(), w.there("req-2")),
-            ("cancelled", 0),
-            "seed {seed}"
-        );
+        w.assert_cancelled(seed, &["req-2"]);
     }
 }
--- a/tests/world/asks.rs
+++ b/tests/world/asks.rs
@@ -12,6 +12,19 @@
             .collect()
     }
 
+    /// What is cancelled is gone, as its user was told.
+    pub fn assert_cancelled(&self, seed: u64, ids: &[&str]) {
+        for id in ids {
+            let is = (self.told(id), self.there(id));
+            assert_eq!(
+                is,
+                ("cancelled".into(), 0),
+                "seed {seed}: {id}\n{}",
+                self.dump()
+            );
+        }
+    }
+
     /// How many tasks of a job are on machines, counted on each.
     pub fn there(&self, id: &str) -> usize {
         let tasks = 0..self.jobs[id].spec.tasks;
--- a/tests/world/check.rs
+++ b/tests/world/check.rs
@@ -101,14 +101,11 @@
             };
             let id = task.rsplit_once('/').map_or("", |(id, _)| id);
             let told = self.jobs.get(id).and_then(|t| t.told_cancelled);
-            if let Some(told) = told {
-                self.late_starts.push(self.now - told);
-                if self.now > told + START_PROOF {
-                    self.broken(
-                        "started_cancelled",
-                        format!("{task} by a command sent then"),
-                    );
-                }
+            if told.is_some_and(|told| self.now > told + START_PROOF) {
+                self.broken(
+                    "started_cancelled",
+                    format!("{task} by a command sent then"),
+                );
             }
         }
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -183,8 +183,6 @@
     pub boot: u64,
     /// Since when jobs have waited though there is room.
     pub waits: waits::Waits,
-    /// How long after users were told of a cancellation controllers have sent starts of its tasks.
-    pub late_starts: Vec<u64>,
 }
 
 pub fn settings(i: usize, nodes: usize) -> Settings {
@@ -352,7 +350,6 @@
             troubles: Troubles::default(),
             boot: BOOT,
             waits: Default::default(),
-            late_starts: Vec::new(),
         };
         for i in 0..nodes {
             w.nodes.push(Slot {
--- a/tests/world/pretend.rs
+++ b/tests/world/pretend.rs
@@ -60,20 +60,11 @@
 
     /// A message with this body comes to a controller, for the path.
     pub fn send_bytes(&mut self, node: usize, internal: bool, path: &str, body: Vec<u8>) {
-        self.serial += 1;
-        let ev = NetEvent::Request {
-            conn: self.serial,
-            internal,
-            method: "POST".into(),
-            path: path.into(),
-            body,
-        };
         let pending = match path {
             "/submissions" => Pending::Odd("bytes", 400),
             _ => Pending::Report("none".into(), 0),
         };
-        self.conns.insert((node, self.serial), pending);
-        self.deliver(node, vec![ev]);
+        self.request_on(internal, node, pending, "POST", path.into(), body);
     }
 
     /// What a worker would report now.
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -10,6 +10,19 @@
         method: &str,
         path: String,
         body: Vec<u8>,
+    ) {
+        self.request_on(false, i, pending, method, path, body);
+    }
+
+    /// The same, on the address for users or on that for controllers.
+    pub(super) fn request_on(
+        &mut self,
+        internal: bool,
+        i: usize,
+        pending: Pending,
+        method: &str,
+        path: String,
+        body: Vec<u8>,
     ) {
         if self.nodes[i].node.is_none() {
             return;
@@ -19,7 +32,7 @@
         self.conns.insert((i, conn), pending);
         let ev = NetEvent::Request {
             conn,
-            internal: false,
+            internal,
             method: method.into(),
             path,
             body,
