Settle a job write whose answer was lost by all of its conditions

Cause: after a lost answer, the leader compared the versions of the leader record, of placement batches and of each job's own record, and not those of the chunks. A write that changes only chunks leaves the job's record as it is. If it had been carried out, it was taken for one that may still be, sent again, answered with 409, and so on without end; its job stayed "in flight", and the resends used up the write budget.

Change: `RecordCache::may_commit` compares every condition of a transaction with the newest known version of its key, chunks and unreadable records included. It replaces the three comparisons in the record writer. A record never gets an earlier version again, so one contradicted condition settles it.

--- a/src/records/record_writer.rs
+++ b/src/records/record_writer.rs
@@ -6,9 +6,7 @@
 use crate::controller::Controller;
 use crate::messages::{PendingRequest, StoreRequestPurpose};
 use crate::protocol::key_value_api::{Change, Transaction, VersionCondition};
-use crate::protocol::records::{
-    LEADER_KEY, NEWEST_PLACEMENT_BATCH_KEY, TaskEntry, job_key, placement_batch_number,
-};
+use crate::protocol::records::{LEADER_KEY, TaskEntry, placement_batch_number};
 use crate::protocol::{Clock, Micros};
 pub use crate::records::pending_write::PendingWrite;
 use crate::records::record_update::{RecordUpdate, WriteLimits};
@@ -276,36 +274,6 @@
     }
 }
 
-impl WriteInFlight {
-    /// Whether the store may still carry out the transaction, because its conditions hold according to the cache.
-    fn may_still_commit(&self, leader_version: u64, cache: &RecordCache) -> bool {
-        leader_version == self.transaction.conditions[0].version
-            && self.batch_is_unwritten(cache)
-            && self.jobs.iter().all(|id| self.job_is_unchanged(id, cache))
-    }
-
-    /// Whether the transaction's placement batch, if it has one, is not in the cache. A batch changes no job's record,
-    /// so only its own record shows whether it was written.
-    fn batch_is_unwritten(&self, cache: &RecordCache) -> bool {
-        let batches = &cache.placement_batches;
-        self.transaction.conditions.iter().all(|condition| {
-            let number = placement_batch_number(&condition.key);
-            number.is_none_or(|n| batches.version(n) == condition.version)
-                && (condition.key != NEWEST_PLACEMENT_BATCH_KEY
-                    || batches.newest_version() == condition.version)
-        })
-    }
-
-    fn job_is_unchanged(&self, id: &str, cache: &RecordCache) -> bool {
-        let Some(job) = cache.jobs.get(id) else {
-            return false;
-        };
-        let key = job_key(id);
-        let condition = self.transaction.conditions.iter().find(|c| c.key == key);
-        condition.is_none_or(|c| c.version == job.version)
-    }
-}
-
 impl Controller {
     /// Counts the writes of job records that are due; none are before the cache is complete.
     pub fn due_job_writes(&mut self, now: Micros) -> DueWrites {
@@ -392,7 +360,10 @@
             }
             // Not carried out: the changes will be derived again.
             StoreResponse::Refused | StoreResponse::RateLimited => self.end_job_write(write_id),
-            _ => self.request_read_barrier(clock, PendingRequest::SettleJobWrites(write_id)),
+            _ => {
+                log::info!("job write failed write={write_id} response={response:?}");
+                self.request_read_barrier(clock, PendingRequest::SettleJobWrites(write_id));
+            }
         }
     }
 
@@ -411,10 +382,12 @@
         let Some(write) = leader.record_writer.writes_in_flight.get(&write_id) else {
             return;
         };
-        if write.may_still_commit(leader.version, &self.cache) {
+        if self.cache.may_commit(&write.transaction) {
+            log::info!("job write sent again write={write_id}");
             let transaction = write.transaction.clone();
             self.send_job_write(RequestPriority::Normal, write_id, transaction);
         } else {
+            log::info!("job write settled write={write_id}");
             self.end_job_write(write_id);
         }
     }
--- a/src/state/record_cache.rs
+++ b/src/state/record_cache.rs
@@ -1,5 +1,6 @@
 //! Cache of the records in the key-value store, updated by listings, watches and the controller's own commits.
 
+mod conditions;
 mod job_records;
 mod listing;
 
--- a/tests/record_cache.rs
+++ b/tests/record_cache.rs
@@ -3,8 +3,9 @@
 
 mod simulation;
 
+use rmpv::Value;
 use walnuttrestle::protocol::codec::to_value;
-use walnuttrestle::protocol::key_value_api::{Item, ItemPage};
+use walnuttrestle::protocol::key_value_api::{Item, ItemPage, Transaction, VersionCondition};
 use walnuttrestle::protocol::records::{
     JobRecord, JobStage, PlacementBatch, TaskChunk, TaskEntry, chunk_key, job_key,
     placement_batch_key,
@@ -221,3 +222,33 @@
         "the deleted batch still counts as unreadable"
     );
 }
+
+/// A transaction that changes only a chunk may be carried out until the cache holds another version of that chunk, whether
+/// the record can be read or not.
+#[test]
+fn transaction_may_commit_only_while_no_condition_is_contradicted() {
+    let mut cache = RecordCache::default();
+    let active = to_value(&record(JobStage::Active, Vec::new()));
+    let chunk = to_value(&TaskChunk::default());
+    let key = chunk_key("req-1", 1);
+    cache.put(&job_key("req-1"), active, 5);
+    let write = |chunk_version: u64| Transaction {
+        conditions: vec![
+            VersionCondition::new(&job_key("req-1"), 5),
+            VersionCondition::new(&key, chunk_version),
+        ],
+        changes: Vec::new(),
+    };
+    assert!(cache.may_commit(&write(0)), "the chunk does not exist");
+    cache.put(&key, chunk, 7);
+    assert!(!cache.may_commit(&write(0)), "the chunk was written");
+    assert!(cache.may_commit(&write(7)));
+    cache.put(&key, Value::from("spoilt"), 9);
+    assert!(
+        !cache.may_commit(&write(7)),
+        "a newer version of the chunk is unreadable"
+    );
+    let cancelled = to_value(&record(JobStage::Cancelled, Vec::new()));
+    cache.put(&job_key("req-1"), cancelled, 11);
+    assert!(!cache.may_commit(&write(9)), "the job has ended");
+}
