Keep an unanswered job write until the records settle it

Cause: a job write whose sending had no answer is sent again. If that second sending was refused (429, 503) or rejected (400), the leader gave the write up, although the first sending may be carried out later. Its placements no longer counted, another job took the limit of the team, and the late write then placed the first job as well.

Change: a refusal ends a write only if every sending of it was answered. Otherwise the write stays in flight, its placements count, and the next confirmed read settles it: it is sent again or, if its conditions are contradicted, ended. A conflict on a record that did exist, and a rejection, are final for every sending; then only the read is awaited. The id of a write names its leadership, so that the answer to a write of an earlier leadership of the same process settles no write of the present one (by reading, not seen).

--- a/src/api/client_api.rs
+++ b/src/api/client_api.rs
@@ -224,12 +224,12 @@
             }
             PendingRequest::Cancel { conn, id } => self.on_cancel(clock, conn, id, freshness),
             PendingRequest::ConfirmLeadership => {}
-            PendingRequest::SettleJobWrites(batch) => self.settle_job_write(batch),
+            PendingRequest::SettleJobWrite(write_id) => self.settle_job_write(write_id),
         }
     }
 
     /// Aborts a request whose read barrier has failed. A write of job records is retried instead.
-    pub(super) fn abort_request(&mut self, request: PendingRequest) {
+    pub(super) fn abort_request(&mut self, clock: Clock, request: PendingRequest) {
         match request {
             PendingRequest::Status { conn, .. }
             | PendingRequest::Resubmit { conn, .. }
@@ -238,7 +238,7 @@
                 self.refuse(conn, 503, "the state service does not answer");
             }
             PendingRequest::ConfirmLeadership => {}
-            PendingRequest::SettleJobWrites(batch) => self.retry_job_write(batch),
+            PendingRequest::SettleJobWrite(write_id) => self.retry_job_write(clock, write_id),
         }
     }
 }
--- a/src/api/read_barrier.rs
+++ b/src/api/read_barrier.rs
@@ -39,7 +39,7 @@
 fn is_urgent(request: &PendingRequest) -> bool {
     matches!(
         request,
-        PendingRequest::ConfirmLeadership | PendingRequest::SettleJobWrites(_)
+        PendingRequest::ConfirmLeadership | PendingRequest::SettleJobWrite(_)
     )
 }
 
@@ -55,6 +55,7 @@
             leader.last_confirmed_read = leader.last_confirmed_read.max(sent);
         }
         self.confirm_renewals(sent);
+        self.settle_job_writes_after_read(sent);
     }
 
     /// Resumes `request` once the cache holds all changes that were committed before this call.
@@ -94,7 +95,7 @@
         self.read_barrier.last_attempt = clock.now;
         let waiting = std::mem::take(&mut self.read_barrier.waiting);
         if !self.cache.synced {
-            self.abort_requests(waiting);
+            self.abort_requests(clock, waiting);
             return;
         }
         self.read_barrier.in_flight = true;
@@ -130,14 +131,14 @@
                 self.reload_records(clock);
             }
             let covered = std::mem::take(&mut self.read_barrier.covered);
-            self.abort_requests(covered);
+            self.abort_requests(clock, covered);
         }
         self.send_read_barrier(clock);
     }
 
-    fn abort_requests(&mut self, requests: Vec<PendingRequest>) {
+    fn abort_requests(&mut self, clock: Clock, requests: Vec<PendingRequest>) {
         for request in requests {
-            self.abort_request(request);
+            self.abort_request(clock, request);
         }
     }
 }
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -5,6 +5,22 @@
 use crate::protocol::cloud_api::RentRequest;
 use crate::protocol::{JobSpec, Micros};
 use crate::state::agent::AttemptKey;
+use std::fmt;
+
+/// Identifies a transaction of job records, across all leaderships of this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WriteId {
+    /// Version of the leader record on which the transaction is conditional.
+    pub leader_version: u64,
+    /// Number of the transaction in its leadership.
+    pub number: u64,
+}
+
+impl fmt::Display for WriteId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}", self.leader_version, self.number)
+    }
+}
 
 /// Why a request to the store was made.
 #[derive(Debug, Clone)]
@@ -31,8 +47,8 @@
     AttachReplacementLease,
     /// To raise the leader's own term.
     RaiseTerm,
-    /// To write job records; the number identifies the write.
-    WriteJobs(u64),
+    /// To write job records.
+    WriteJobs(WriteId),
     /// A write that nothing waits for: machine types, the initial number of machines, deletions of placement batches.
     BackgroundWrite,
     /// To record the controllers' shares of the write budget.
@@ -132,7 +148,6 @@
     },
     /// The leader checks that its term still holds.
     ConfirmLeadership,
-    /// A write of job records failed or got no response, so its outcome has to be determined; the number identifies the
-    /// write.
-    SettleJobWrites(u64),
+    /// A write of job records failed or got no response, so its outcome has to be determined.
+    SettleJobWrite(WriteId),
 }
--- a/src/records/record_writer.rs
+++ b/src/records/record_writer.rs
@@ -4,7 +4,7 @@
 //! are added to its pending write, so that a burst of changes costs one write per job instead of one per task.
 
 use crate::controller::Controller;
-use crate::messages::{PendingRequest, StoreRequestPurpose};
+use crate::messages::{PendingRequest, StoreRequestPurpose, WriteId};
 use crate::protocol::key_value_api::{Change, Transaction, VersionCondition};
 use crate::protocol::records::{LEADER_KEY, TaskEntry, placement_batch_number};
 use crate::protocol::{Clock, Micros};
@@ -24,6 +24,23 @@
 struct WriteInFlight {
     jobs: Vec<String>,
     transaction: Transaction,
+    /// It was sent at least once without a response, and may be or have been carried out.
+    unanswered: bool,
+    /// The store can no longer carry it out. It may have been carried out already.
+    impossible: bool,
+    /// It is settled after a confirmed read that was sent at this time or later.
+    settled_by_read_from: Option<Micros>,
+}
+
+impl WriteInFlight {
+    /// Whether the failure of conditions on these keys is final. A record never gets an earlier version again; only a
+    /// record that must not exist may be deleted.
+    fn conflict_is_final(&self, failed: &[String]) -> bool {
+        self.transaction
+            .conditions
+            .iter()
+            .any(|condition| condition.version > 0 && failed.contains(&condition.key))
+    }
 }
 
 /// How many writes are due, and when the next one will be.
@@ -47,10 +64,10 @@
 pub struct RecordWriter {
     /// Pending changes, by job.
     pending: BTreeMap<String, PendingWrite>,
-    writes_in_flight: BTreeMap<u64, WriteInFlight>,
+    writes_in_flight: BTreeMap<WriteId, WriteInFlight>,
     /// Jobs in transactions in flight, with the placements in these transactions. A job is in at most one at a time.
     placements_in_flight: BTreeMap<String, Vec<TaskEntry>>,
-    last_write_id: u64,
+    last_write_number: u64,
     /// Whether the due writes must be counted again, because pending writes have changed or some were due.
     recount_due: bool,
     /// Unless `recount_due` is set, no write is due before this.
@@ -145,16 +162,39 @@
     }
 
     /// Registers a transaction in flight that changes these jobs; returns the id of the write.
-    pub fn begin_write(&mut self, jobs: Vec<String>, transaction: Transaction) -> u64 {
-        self.last_write_id += 1;
-        let write = WriteInFlight { jobs, transaction };
-        self.writes_in_flight.insert(self.last_write_id, write);
-        self.last_write_id
+    /// The first condition must be the one on the leader record.
+    pub fn begin_write(&mut self, jobs: Vec<String>, transaction: Transaction) -> WriteId {
+        self.last_write_number += 1;
+        let write_id = WriteId {
+            leader_version: transaction.conditions[0].version,
+            number: self.last_write_number,
+        };
+        let write = WriteInFlight {
+            jobs,
+            transaction,
+            unanswered: false,
+            impossible: false,
+            settled_by_read_from: None,
+        };
+        self.writes_in_flight.insert(write_id, write);
+        write_id
+    }
+
+    /// The writes that are settled by a confirmed read that was sent at `sent`.
+    fn take_writes_settled_by_read(&mut self, sent: Micros) -> Vec<WriteId> {
+        let mut ids = Vec::new();
+        for (id, write) in &mut self.writes_in_flight {
+            if write.settled_by_read_from.is_some_and(|from| from <= sent) {
+                write.settled_by_read_from = None;
+                ids.push(*id);
+            }
+        }
+        ids
     }
 
     /// Removes a transaction from those in flight; returns whether it was among them. Its changes are in the cache by
     /// now, or they will be derived again from the agents' heartbeats and the next scheduling pass.
-    fn end_write(&mut self, write_id: u64) -> bool {
+    fn end_write(&mut self, write_id: WriteId) -> bool {
         let Some(write) = self.writes_in_flight.remove(&write_id) else {
             return false;
         };
@@ -220,7 +260,7 @@
         clock: Clock,
         max_changes: usize,
         limits: WriteLimits,
-    ) -> Option<(u64, Transaction)> {
+    ) -> Option<(WriteId, Transaction)> {
         let mut conditions = vec![VersionCondition::new(LEADER_KEY, leader_version)];
         let mut changes = Vec::new();
         let mut jobs = Vec::new();
@@ -316,7 +356,7 @@
     pub(super) fn send_job_write(
         &mut self,
         priority: RequestPriority,
-        write_id: u64,
+        write_id: WriteId,
         transaction: Transaction,
     ) {
         self.store.enqueue(
@@ -330,21 +370,17 @@
     pub fn on_job_writes_result(
         &mut self,
         clock: Clock,
-        write_id: u64,
+        write_id: WriteId,
         request: StoreRequest,
         response: StoreResponse,
     ) {
         let Some(leader) = &mut self.leader else {
             return;
         };
-        if !leader
-            .record_writer
-            .writes_in_flight
-            .contains_key(&write_id)
-        {
-            return;
-        }
-        let StoreRequest::Transaction(transaction) = &request else {
+        let writer = &mut leader.record_writer;
+        let (Some(write), StoreRequest::Transaction(transaction)) =
+            (writer.writes_in_flight.get_mut(&write_id), &request)
+        else {
             return;
         };
         match response {
@@ -353,21 +389,41 @@
                 self.end_job_write(write_id);
                 self.on_changed_jobs();
                 self.send_commands(clock);
+                return;
+            }
+            StoreResponse::Conflict(failed) => {
+                write.impossible |= write.conflict_is_final(&failed);
             }
             StoreResponse::Rejected => {
-                leader.record_writer.on_rejected(transaction);
+                // An earlier sending that the store has not carried out yet is rejected as well.
+                write.impossible = true;
+                let unanswered = write.unanswered;
+                writer.on_rejected(transaction);
+                if !unanswered {
+                    self.end_job_write(write_id);
+                    return;
+                }
+            }
+            // Not carried out, nor was any earlier sending: the changes will be derived again.
+            StoreResponse::Refused | StoreResponse::RateLimited if !write.unanswered => {
                 self.end_job_write(write_id);
+                return;
+            }
+            // An earlier sending may still be carried out.
+            StoreResponse::Refused | StoreResponse::RateLimited => {
+                write.settled_by_read_from = Some(clock.now);
+                self.request_read_barrier(clock, PendingRequest::ConfirmLeadership);
+                return;
             }
-            // Not carried out: the changes will be derived again.
-            StoreResponse::Refused | StoreResponse::RateLimited => self.end_job_write(write_id),
             _ => {
-                log::info!("job write failed write={write_id} response={response:?}");
-                self.request_read_barrier(clock, PendingRequest::SettleJobWrites(write_id));
+                write.unanswered = true;
+                log::info!("job write unanswered write={write_id}");
             }
         }
+        self.request_read_barrier(clock, PendingRequest::SettleJobWrite(write_id));
     }
 
-    fn end_job_write(&mut self, write_id: u64) {
+    fn end_job_write(&mut self, write_id: WriteId) {
         if let Some(leader) = &mut self.leader
             && leader.record_writer.end_write(write_id)
         {
@@ -375,30 +431,49 @@
         }
     }
 
-    /// Settles a failed or unanswered transaction once the cache has caught up. If all its conditions still hold, the
-    /// store may yet carry it out, so it is sent again unchanged.
-    pub fn settle_job_write(&mut self, write_id: u64) {
-        let Some(leader) = &self.leader else { return };
-        let Some(write) = leader.record_writer.writes_in_flight.get(&write_id) else {
+    /// Settles a failed or unanswered transaction once the cache has caught up. If the store may yet carry it out, it is
+    /// sent again unchanged. Until it is settled, its placements count.
+    pub fn settle_job_write(&mut self, write_id: WriteId) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let Some(write) = leader.record_writer.writes_in_flight.get_mut(&write_id) else {
             return;
         };
-        if self.cache.may_commit(&write.transaction) {
+        if write.impossible || !self.cache.may_commit(&write.transaction) {
+            log::info!("job write settled write={write_id}");
+            self.end_job_write(write_id);
+        } else {
             log::info!("job write sent again write={write_id}");
             let transaction = write.transaction.clone();
             self.send_job_write(RequestPriority::Normal, write_id, transaction);
-        } else {
-            log::info!("job write settled write={write_id}");
-            self.end_job_write(write_id);
         }
     }
 
-    /// Sends a failed or unanswered transaction again with low priority after the cache could not catch up.
-    pub fn retry_job_write(&mut self, write_id: u64) {
-        if let Some(leader) = &self.leader
-            && let Some(write) = leader.record_writer.writes_in_flight.get(&write_id)
-        {
-            let transaction = write.transaction.clone();
-            self.send_job_write(RequestPriority::Background, write_id, transaction);
+    /// Settles the writes that have waited for a confirmed read; this one was sent at `sent`.
+    pub(crate) fn settle_job_writes_after_read(&mut self, sent: Micros) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        for write_id in leader.record_writer.take_writes_settled_by_read(sent) {
+            self.settle_job_write(write_id);
+        }
+    }
+
+    /// Handles that the cache could not catch up after a transaction failed or got no response: sends it again with low
+    /// priority, or, if the store can no longer carry it out, settles it after a later read.
+    pub fn retry_job_write(&mut self, clock: Clock, write_id: WriteId) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let Some(write) = leader.record_writer.writes_in_flight.get_mut(&write_id) else {
+            return;
+        };
+        if write.impossible {
+            write.settled_by_read_from = Some(clock.now);
+            return;
         }
+        let transaction = write.transaction.clone();
+        self.send_job_write(RequestPriority::Background, write_id, transaction);
     }
 }
--- a/tests/late_messages.rs
+++ b/tests/late_messages.rs
@@ -28,6 +28,7 @@
         }
         sim.faults.delayed_key = Some(DelayedKey {
             prefix: "wt/f/kernel-0",
+            skipped: 0,
             remaining: 1,
             delay: 11 * SECOND,
         });
@@ -74,6 +75,7 @@
         sim.run_seconds(8);
         sim.faults.delayed_key = Some(DelayedKey {
             prefix: "wt/b/",
+            skipped: 0,
             remaining: 2,
             delay: sim.rng.random_range(2..12) * SECOND,
         });
--- a/tests/simulation/fault_injection.rs
+++ b/tests/simulation/fault_injection.rs
@@ -45,6 +45,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct DelayedKey {
     pub prefix: &'static str,
+    /// Number of transactions to execute in time before the first delayed one.
+    pub skipped: u32,
     /// Number of further transactions to delay.
     pub remaining: u32,
     pub delay: u64,
@@ -279,6 +281,10 @@
         if !transaction.changes.iter().any(is_affected) {
             return None;
         }
+        if delayed.skipped > 0 {
+            delayed.skipped -= 1;
+            return None;
+        }
         delayed.remaining -= 1;
         Some(delayed.delay)
     }
