Let a renewing follower recognize its own record after a lost answer

Cause: a follower that renews leases rewrites its renewals record every 10 s and remembered the version of the last write that was answered. After a lost answer the next read showed its own record with another version. It took that for the work of somebody else ("superseded"), forgot all machines although it had just renewed their leases, and cleared the record, since the clearing of an inherited record counted from the start of the process. The leader then found nobody who renews these leases, and ended the epochs.

Change: only this controller writes that record, so another version is one of its own writes and applies from then on. Machines that an unanswered write omits are not renewed until its outcome is known, so it does not matter when it is carried out. Heartbeats that wait for the record are answered once the read after a lost answer has shown it. Clearing an inherited record counts from the last renewal as well. A record that does not fit names the machines that it already names first. New log lines: "delegated renewals not confirmed", "delegated renewals found on record".

--- a/src/api/client_api.rs
+++ b/src/api/client_api.rs
@@ -224,6 +224,7 @@
             }
             PendingRequest::Cancel { conn, id } => self.on_cancel(clock, conn, id, freshness),
             PendingRequest::ConfirmLeadership => {}
+            PendingRequest::SettleRenewalsWrite => self.settle_renewals_write(clock),
             PendingRequest::SettleJobWrite(write_id) => self.settle_job_write(write_id),
         }
     }
@@ -238,6 +239,7 @@
                 self.refuse(conn, 503, "the state service does not answer");
             }
             PendingRequest::ConfirmLeadership => {}
+            PendingRequest::SettleRenewalsWrite => self.respond_without_record(clock),
             PendingRequest::SettleJobWrite(write_id) => self.retry_job_write(clock, write_id),
         }
     }
--- a/src/api/read_barrier.rs
+++ b/src/api/read_barrier.rs
@@ -39,7 +39,9 @@
 fn is_urgent(request: &PendingRequest) -> bool {
     matches!(
         request,
-        PendingRequest::ConfirmLeadership | PendingRequest::SettleJobWrite(_)
+        PendingRequest::ConfirmLeadership
+            | PendingRequest::SettleRenewalsWrite
+            | PendingRequest::SettleJobWrite(_)
     )
 }
 
--- a/src/leadership/delegated_renewal.rs
+++ b/src/leadership/delegated_renewal.rs
@@ -6,6 +6,9 @@
 //! unchanged; the leader does not consider a lease expired while such a record names the machine. A machine is
 //! removed from the record only after the lease that the follower last renewed has expired.
 //!
+//! The response to a write of the record may be lost, and the write may be carried out at once, late or never. Until
+//! that is known, leases are renewed only of machines that both the record and the write name.
+//!
 //! While the store is unavailable, nothing can be recorded. A lease is then renewed without a record, either under a
 //! grant of the leader or because the leader's process has ended (see `crates/lease-delegation`).
 
@@ -27,12 +30,15 @@
     /// Per machine whose lease this controller renews, the time of the last renewal or, while the first one waits
     /// for the record, of the heartbeat. Includes machines that an earlier incarnation has recorded.
     last_renewals: BTreeMap<String, Micros>,
-    /// Machines that the committed record of this controller names.
+    /// Machines that the committed record of this controller names, and that it will name if a write whose outcome is
+    /// unknown is carried out.
     recorded_machines: BTreeSet<String>,
     /// The leadership on which writes of the record are conditional.
     leadership: Leadership,
-    /// Version of the record of this controller.
+    /// Version of the record of this controller to which `recorded_machines` applies.
     record_version: u64,
+    /// When this controller last renewed a lease that the record names.
+    last_renewal_at: Micros,
     /// Start of the last read that showed both the renewals record and the leader record unchanged.
     last_confirmed_read: Micros,
     last_write_at: Micros,
@@ -101,9 +107,11 @@
         is_newer
     }
 
-    /// Switches to another leadership and discards the renewals under the previous one.
-    fn reset(&mut self, leadership: Leadership) {
+    /// Switches to another leadership and discards the renewals under the previous one. `record_version`: version of
+    /// the record of this controller.
+    fn reset(&mut self, leadership: Leadership, record_version: u64) {
         self.leadership = leadership;
+        self.record_version = record_version;
         self.recorded_machines.clear();
         self.last_renewals.clear();
         self.last_confirmed_read = Micros::ZERO;
--- a/src/leadership/delegated_renewal/heartbeat_routing.rs
+++ b/src/leadership/delegated_renewal/heartbeat_routing.rs
@@ -205,8 +205,9 @@
         leadership: Leadership,
     ) {
         if self.renewals.leadership != leadership {
-            self.renewals.reset(leadership);
-            self.inherit_renewals(leadership.term);
+            let record_version = self.cached_renewals_version();
+            self.renewals.reset(leadership, record_version);
+            self.inherit_renewals();
         }
         if self.renewals.recorded_machines.contains(&heartbeat.machine) {
             self.renew_recorded(clock, connection, &heartbeat);
@@ -230,13 +231,8 @@
     /// Takes over the machines that an earlier incarnation of this controller has recorded, since it may have renewed
     /// their leases until this incarnation started. The first record of this incarnation must name them for the
     /// duration of a lease: otherwise the leader would consider the leases expired and start the tasks elsewhere.
-    fn inherit_renewals(&mut self, term: u64) {
-        let own_records = self.cache.renewals_of(&self.settings.node);
-        let current = own_records
-            .into_iter()
-            .flatten()
-            .filter(|(record, _)| record.term == term);
-        for machine in current.flat_map(|(record, _)| record.machines()) {
+    fn inherit_renewals(&mut self) {
+        for machine in self.machines_on_record() {
             self.renewals.last_renewals.insert(machine, self.started_at);
         }
     }
@@ -293,6 +289,7 @@
         }
         let machine = heartbeat.machine.clone();
         renewals.last_renewals.insert(machine, clock.now);
+        renewals.last_renewal_at = clock.now;
         let term = renewals.leadership.term;
         self.respond_with_renewal(connection, heartbeat, term);
     }
--- a/src/leadership/delegated_renewal/renewals_record.rs
+++ b/src/leadership/delegated_renewal/renewals_record.rs
@@ -39,6 +39,11 @@
         let write_rate = self.store.write_rate() * WRITE_BUDGET_SHARE;
         let renewals = &mut self.renewals;
         renewals.write_in_flight = true;
+        // From now on the record may omit the machines that this write omits.
+        let named: BTreeSet<&String> = write.machines.iter().collect();
+        renewals
+            .recorded_machines
+            .retain(|machine| named.contains(machine));
         renewals.last_write_at = clock.now;
         renewals.write_delay = Micros::secs(write.transaction.changes.len() as f64 / write_rate);
         self.store.enqueue(
@@ -57,11 +62,16 @@
     fn build_record_write(&self) -> RecordWrite {
         let leadership = self.renewals.leadership;
         let limits = &self.settings.params.state;
+        let max_bytes = limits.effective_value_bytes();
+        let max_parts = limits.effective_txn_ops();
         let machines = self.renewals.last_renewals.keys();
-        let mut parts =
-            RenewalsRecord::split(leadership.term, machines, limits.effective_value_bytes());
-        // Machines that do not fit into one transaction are left out, so their leases are not renewed.
-        parts.truncate(limits.effective_txn_ops());
+        let mut parts = RenewalsRecord::split(leadership.term, machines, max_bytes);
+        if parts.len() > max_parts {
+            // The machines that the record already names come first: their leases have been renewed.
+            let recorded = self.renewals.recorded_machines.iter();
+            parts = RenewalsRecord::split(leadership.term, recorded, max_bytes);
+            parts.truncate(max_parts);
+        }
         let named: Vec<String> = parts.iter().flat_map(RenewalsRecord::machines).collect();
         let stored_parts = self.cache.renewals_of(&self.settings.node);
         let empty = RenewalsRecord::new(leadership.term, [].into_iter());
@@ -101,22 +111,34 @@
         response: StoreResponse,
     ) {
         self.renewals.write_in_flight = false;
-        let pending_heartbeats = std::mem::take(&mut self.renewals.pending_heartbeats);
         match (&response, &request) {
             (StoreResponse::Committed(revision), StoreRequest::Transaction(transaction)) => {
                 self.apply_own_commit(transaction, *revision);
                 if transaction.conditions[0].version == self.renewals.leadership.record_version {
                     self.on_renewals_recorded(clock, machines, *revision, sent_at);
                 }
-                self.respond_to_recorded_machines(clock, pending_heartbeats);
+                self.respond_to_recorded_machines(clock);
             }
             _ => {
-                self.request_read_barrier(clock, PendingRequest::ConfirmLeadership);
-                self.respond_after_failed_write(clock, pending_heartbeats);
+                log::info!("delegated renewals not confirmed response={response:?}");
+                self.request_read_barrier(clock, PendingRequest::SettleRenewalsWrite);
             }
         }
     }
 
+    /// Responds to the pending heartbeats after a write of the record has failed or was not answered, and the cache has
+    /// caught up.
+    pub fn settle_renewals_write(&mut self, clock: Clock) {
+        if self.renewals.write_in_flight {
+            return;
+        }
+        if self.renewal_leadership_unchanged() {
+            self.respond_to_recorded_machines(clock);
+        } else {
+            self.respond_without_record(clock);
+        }
+    }
+
     fn on_renewals_recorded(
         &mut self,
         clock: Clock,
@@ -141,12 +163,8 @@
     }
 
     /// Responds to the pending heartbeats of machines that the record now names; the others wait for the next write.
-    fn respond_to_recorded_machines(
-        &mut self,
-        clock: Clock,
-        pending_heartbeats: Vec<PendingHeartbeat>,
-    ) {
-        for pending in pending_heartbeats {
+    fn respond_to_recorded_machines(&mut self, clock: Clock) {
+        for pending in std::mem::take(&mut self.renewals.pending_heartbeats) {
             let machine = &pending.heartbeat.machine;
             if self.renewals.recorded_machines.contains(machine) {
                 self.renew_recorded(clock, pending.connection, &pending.heartbeat);
@@ -159,16 +177,16 @@
         }
     }
 
-    fn respond_after_failed_write(
-        &mut self,
-        clock: Clock,
-        pending_heartbeats: Vec<PendingHeartbeat>,
-    ) {
-        for PendingHeartbeat {
-            connection,
-            heartbeat,
-        } in pending_heartbeats
-        {
+    /// Responds to the pending heartbeats of machines that could not be recorded.
+    pub fn respond_without_record(&mut self, clock: Clock) {
+        if self.renewals.write_in_flight {
+            return;
+        }
+        for pending in std::mem::take(&mut self.renewals.pending_heartbeats) {
+            let PendingHeartbeat {
+                connection,
+                heartbeat,
+            } = pending;
             if !self.renewals.recorded_machines.contains(&heartbeat.machine) {
                 self.renewals.last_renewals.remove(&heartbeat.machine);
             }
@@ -180,31 +198,66 @@
         }
     }
 
-    /// Handles a completed read barrier whose read was sent at `sent_at`: confirms the renewals if both the renewals
-    /// record and the leader record are unchanged, and ends them otherwise.
+    /// Handles a completed read that was sent at `sent_at`: confirms the renewals if the leader record is unchanged, and
+    /// ends them otherwise.
+    ///
+    /// Only this controller writes its renewals record. So another version than expected is one of its own writes whose
+    /// response was lost, or one of its earlier run, and applies from now on. Other unanswered writes are conditional on
+    /// the version before and can no longer be carried out.
     pub fn confirm_renewals(&mut self, sent_at: Micros) {
-        if !self.renewals.active() || self.renewals.recorded_machines.is_empty() {
+        if !self.renewals.active() {
             return;
         }
-        let own_record = self.cache.renewals.get(&self.settings.node);
-        let expected = self.renewals.record_version;
-        let record_unchanged = own_record.is_some_and(|(_, version)| *version == expected);
-        let unchanged = record_unchanged && self.renewal_leadership_unchanged();
-        let renewals = &mut self.renewals;
-        if renewals.write_in_flight && !unchanged {
+        let version = self.cached_renewals_version();
+        let record_unchanged = version == self.renewals.record_version;
+        let leadership_unchanged = self.renewal_leadership_unchanged();
+        if self.renewals.write_in_flight && !(record_unchanged && leadership_unchanged) {
             // The read may already include the write in flight, whose response has not arrived yet.
             return;
         }
-        if unchanged {
-            renewals.last_confirmed_read = renewals.last_confirmed_read.max(sent_at);
-        } else {
+        if !leadership_unchanged {
+            self.end_renewals();
+            return;
+        }
+        if !record_unchanged {
+            let machines = self.machines_on_record();
             log::info!(
-                "delegated renewals ended term={} reason=superseded",
-                renewals.leadership.term
+                "delegated renewals found on record version={version} machines={}",
+                machines.len()
             );
-            renewals.recorded_machines.clear();
-            renewals.last_renewals.clear();
+            self.renewals.record_version = version;
+            self.renewals.recorded_machines = machines;
         }
+        let renewals = &mut self.renewals;
+        renewals.last_confirmed_read = renewals.last_confirmed_read.max(sent_at);
+    }
+
+    /// Ends the renewals under a leadership that has changed.
+    fn end_renewals(&mut self) {
+        let renewals = &mut self.renewals;
+        log::info!(
+            "delegated renewals ended term={} reason=leadership_changed",
+            renewals.leadership.term
+        );
+        renewals.recorded_machines.clear();
+        renewals.last_renewals.clear();
+    }
+
+    /// Version of this controller's record in the cache; 0 if there is none.
+    pub(super) fn cached_renewals_version(&self) -> u64 {
+        let record = self.cache.renewals.get(&self.settings.node);
+        record.map_or(0, |(_, version)| *version)
+    }
+
+    /// Machines that this controller's record in the cache names under the present leadership.
+    pub(super) fn machines_on_record(&self) -> BTreeSet<String> {
+        let term = self.renewals.leadership.term;
+        let parts = self.cache.renewals_of(&self.settings.node);
+        let current = parts.into_iter().flatten();
+        current
+            .filter(|(record, _)| record.term == term)
+            .flat_map(|(record, _)| record.machines())
+            .collect()
     }
 
     /// Removes machines whose last renewed leases have expired, and refreshes the record; returns when to check
@@ -267,12 +320,13 @@
         else {
             return Micros::FAR_FUTURE;
         };
-        let expired_at = self.started_at + lease;
+        let expired_at = self.started_at.max(self.renewals.last_renewal_at) + lease;
         let retry_at = self.renewals.last_write_at + CLEAR_RETRY_INTERVAL;
         if clock.now < expired_at || clock.now < retry_at {
             return expired_at.max(clock.now + CLEAR_RETRY_INTERVAL);
         }
-        self.renewals.leadership = leadership;
+        let record_version = self.cached_renewals_version();
+        self.renewals.reset(leadership, record_version);
         self.write_renewals_record(clock);
         Micros::FAR_FUTURE
     }
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -148,6 +148,8 @@
     },
     /// The leader checks that its term still holds.
     ConfirmLeadership,
+    /// A write of the renewals record failed or got no response, so its outcome has to be determined.
+    SettleRenewalsWrite,
     /// A write of job records failed or got no response, so its outcome has to be determined.
     SettleJobWrite(WriteId),
 }
--- a/tests/delegated_renewal.rs
+++ b/tests/delegated_renewal.rs
@@ -1,9 +1,10 @@
 //! A follower that renews agents' leases on behalf of a leader that cannot reach the agents obeys the same limits as
-//! the leader (docs/safety.md, line 14). The cloud is unavailable in these tests, because otherwise the machines would be
+//! the leader, and knows its own record whatever happens to its writes (docs/safety.md, lines 14 and 79). The cloud is unavailable in these tests, because otherwise the machines would be
 //! deleted in time (line 17).
 
 mod simulation;
 
+use simulation::fault_injection::DelayedKey;
 use simulation::{
     CANCEL_DEADLINE_S, Endpoint, PartitionMode, SECOND, Simulation, job, simulation_with_leader,
 };
@@ -88,3 +89,59 @@
         sim.assert_cancelled(seed, &["req-2"]);
     }
 }
+
+fn assert_started_once(sim: &Simulation, seed: u64) {
+    assert!(
+        sim.start_counts.values().all(|starts| *starts == 1),
+        "seed {seed}: {:?}\n{}",
+        sim.start_counts,
+        sim.dump()
+    );
+}
+
+/// Guards against a follower taking its own record, the answer to whose write was lost, for that of another and giving up
+/// all leases that it has just renewed (review/2).
+#[test]
+fn renewing_follower_recognizes_its_record_after_lost_answers() {
+    for seed in 0..8 {
+        let (mut sim, ..) = simulation_with_renewing_follower(6340 + seed);
+        sim.run_seconds(seed);
+        sim.faults.lost_write_answer_probability = 1.0;
+        sim.run_seconds(11);
+        sim.faults.lost_write_answer_probability = 0.0;
+        sim.run_seconds(40);
+        assert_started_once(&sim, seed);
+    }
+}
+
+/// Guards against the same with a record that is carried out late, after newer ones were sent, while machines come and go.
+#[test]
+fn renewing_follower_recognizes_its_record_when_it_is_written_late() {
+    for seed in 0..16 {
+        let (mut sim, follower, _) = simulation_with_renewing_follower(6360 + seed);
+        sim.faults.delayed_key = Some(DelayedKey {
+            prefix: "wt/r/",
+            skipped: 0,
+            remaining: 3,
+            delay: (3 + seed % 9) * SECOND,
+        });
+        sim.faults.lost_write_answer_probability = [0.0, 0.5][seed as usize % 2];
+        // One machine stays away for almost a lease, so that it is about to be left out of the record.
+        sim.partition(
+            Endpoint::Controller(follower),
+            Endpoint::Agent("n-000001".into()),
+            PartitionMode::Drop,
+            (4 + seed % 5) * SECOND,
+        );
+        sim.run_seconds(30);
+        sim.faults.clear();
+        // The partitions end as well: until then the leader does not learn that an agent has begun a new epoch.
+        sim.run_seconds(100);
+        assert_eq!(
+            sim.running_instances("req-1"),
+            4,
+            "seed {seed}: running instances of req-1\n{}",
+            sim.dump()
+        );
+    }
+}
