End a lease only by records that were read after it was over

Cause: the leader ends an epoch when a lease has passed since its own last answer and no cached record names a follower that renews the lease. While it could not read, a record that was committed before the outage was missing in its cache. The end of an epoch is final.

Change: a lease counts as expired only if a confirmed read of the records began after the lease ended by the leader's own answers. A follower commits its record before it renews, so such a read shows it. The leader asks for that read at once. The same condition applies to machines that the leader never heard of, to a follower whose record is overdue, and (relisting) the cache has to be of one revision: pages of a listing may show neither the record that a machine has left nor the one that it has come to.

`epoch_learned_from_...` now gives the leader the read that the new condition asks for; its assertions are as they were.

--- a/src/agents/leader_state.rs
+++ b/src/agents/leader_state.rs
@@ -83,6 +83,8 @@
     pub(super) seen_renewals_generation: u64,
     /// When leases are next checked for expiry.
     pub(super) next_lease_check: Micros,
+    /// Whether a lease can be told to have expired only after another read of the records.
+    pub(super) lease_check_awaits_read: bool,
     /// Progress of restarting tasks after a loss of machines.
     pub recovery: Recovery,
     /// When placement batches are next merged into the job records.
@@ -128,6 +130,7 @@
             reserved: BTreeMap::new(),
             seen_renewals_generation: u64::MAX,
             next_lease_check: Micros::ZERO,
+            lease_check_awaits_read: false,
             recovery: Recovery::default(),
             batch_merge_due: clock.now,
             last_pass: Micros::ZERO,
@@ -138,6 +141,14 @@
         }
     }
 
+    /// Records that a read of the records, sent at `sent`, has confirmed our term.
+    pub fn on_confirmed_read(&mut self, sent: Micros) {
+        self.last_confirmed_read = self.last_confirmed_read.max(sent);
+        if self.lease_check_awaits_read {
+            self.next_lease_check = Micros::ZERO;
+        }
+    }
+
     /// Liveness of a recorded attempt on its machine.
     pub fn attempt_liveness(&self, job: &str, entry: &TaskEntry) -> TaskLiveness {
         let Some(machine) = entry.machine() else {
--- a/src/agents/lease_expiry.rs
+++ b/src/agents/lease_expiry.rs
@@ -82,6 +82,9 @@
 enum LeaseCheck {
     /// The lease may be valid; it is checked again at this time.
     MayBeValid(Micros),
+    /// The records were not read since the lease ended by our own answers, so a follower may have recorded before that
+    /// moment that it renews the lease. It is checked again after the next read.
+    RecordsOutdated,
     /// The lease has expired.
     Expired,
 }
@@ -101,18 +104,25 @@
             return self.next_lease_check;
         }
         let bounds = LeaseBounds::new(settings, self.term_since.max(pledges_relied_on_until));
+        self.lease_check_awaits_read = false;
         self.update_renewed_by_followers(cache);
-        let mut next = self.expire_unseen_agents(bounds.earlier_terms_end, now);
+        let mut next = self.expire_unseen_agents(bounds.earlier_terms_end, cache, now);
         let mut expired = Vec::new();
+        let mut awaits_read = false;
         for (machine, agent) in &self.agents {
             if agent.epoch_ended() {
                 continue;
             }
-            match self.check_lease(machine, agent, &bounds, now) {
+            match self.check_lease(machine, agent, &bounds, cache, now) {
                 LeaseCheck::MayBeValid(recheck_at) => next = next.min(recheck_at),
+                LeaseCheck::RecordsOutdated => awaits_read = true,
                 LeaseCheck::Expired => expired.push(machine.clone()),
             }
         }
+        if awaits_read {
+            self.lease_check_awaits_read = true;
+            next = now;
+        }
         for machine in expired {
             self.end_epoch(&machine);
         }
@@ -122,23 +132,39 @@
 
     /// Sets `unseen_agent_leases_expired` once the leases of machines that never sent us a heartbeat have expired in
     /// the worst case; returns the time of the next check.
-    fn expire_unseen_agents(&mut self, earlier_terms_end: Micros, now: Micros) -> Micros {
+    fn expire_unseen_agents(
+        &mut self,
+        earlier_terms_end: Micros,
+        cache: &RecordCache,
+        now: Micros,
+    ) -> Micros {
         if self.unseen_agent_leases_expired {
             return Micros::FAR_FUTURE;
         }
         if now < earlier_terms_end {
             return earlier_terms_end;
         }
+        if !self.records_read_since(cache, earlier_terms_end) {
+            self.lease_check_awaits_read = true;
+            return now;
+        }
         self.unseen_agent_leases_expired = true;
         self.dirty = true;
         Micros::FAR_FUTURE
     }
 
+    /// Whether the cache shows the renewals records as of this time or later. A follower commits its record before it
+    /// renews a lease, so a record that renewed a lease which would have ended at `time` is in the cache then.
+    fn records_read_since(&self, cache: &RecordCache, time: Micros) -> bool {
+        self.last_confirmed_read >= time && cache.is_consistent()
+    }
+
     fn check_lease(
         &self,
         machine: &str,
         agent: &Agent,
         bounds: &LeaseBounds,
+        cache: &RecordCache,
         now: Micros,
     ) -> LeaseCheck {
         let end = bounds.lease_end(agent, self.term);
@@ -153,6 +179,7 @@
             .lease_grants
             .recheck_at(end.0, now.0, &bounds.grant_bounds())
         {
+            None if !self.records_read_since(cache, end) => LeaseCheck::RecordsOutdated,
             None => LeaseCheck::Expired,
             // A peer may have renewed it under one of our grants and not reported that yet.
             Some(recheck_at) => LeaseCheck::MayBeValid(Micros(recheck_at)),
@@ -191,9 +218,10 @@
         }
     }
 
-    /// Whether a follower that renews leases under our term has written no record for too long. Restarts the timer of
-    /// such a follower, because the caller revokes its renewals.
+    /// Whether a follower that renews leases under our term has written no record for too long, up to our last read of
+    /// the records. Restarts the timer of such a follower, because the caller revokes its renewals.
     fn renewals_stalled(&mut self, cache: &RecordCache, now: Micros) -> bool {
+        let read_at = self.last_confirmed_read;
         let mut stalled = false;
         for (node, (record, version)) in &cache.renewals {
             if record.term != self.term || record.is_empty() {
@@ -209,7 +237,7 @@
             if last_seen.version != *version {
                 last_seen.version = *version;
                 last_seen.seen_at = now;
-            } else if now.since(last_seen.seen_at)
+            } else if read_at.since(last_seen.seen_at)
                 > RECORD_REFRESH_INTERVAL.scale(MISSED_RENEWAL_RECORDS)
                 && !self.term_raise_pending
             {
--- a/src/agents/timers.rs
+++ b/src/agents/timers.rs
@@ -29,12 +29,16 @@
         let Some(leader) = &mut self.leader else {
             return Micros::FAR_FUTURE;
         };
-        leader.expire_leases(
+        let next = leader.expire_leases(
             &self.settings,
             &self.cache,
             pledges_relied_on_until,
             clock.now,
-        )
+        );
+        if leader.lease_check_awaits_read {
+            self.request_confirmation(clock);
+        }
+        next
     }
 
     /// Runs a scheduling pass if one is due and allowed; returns when to try again.
--- a/src/api/read_barrier.rs
+++ b/src/api/read_barrier.rs
@@ -54,7 +54,7 @@
         if let Some(leader) = &mut self.leader
             && record_version == Some(leader.version)
         {
-            leader.last_confirmed_read = leader.last_confirmed_read.max(sent);
+            leader.on_confirmed_read(sent);
         }
         self.confirm_renewals(sent);
         self.settle_job_writes_after_read(sent);
--- a/src/controller/timers.rs
+++ b/src/controller/timers.rs
@@ -106,7 +106,7 @@
     }
 
     /// Requests a read barrier for the sake of a confirmed read only, unless one is in flight.
-    fn request_confirmation(&mut self, clock: Clock) {
+    pub(crate) fn request_confirmation(&mut self, clock: Clock) {
         if !self.read_barrier.in_flight() {
             self.request_read_barrier(clock, PendingRequest::ConfirmLeadership);
         }
--- a/src/state/record_cache.rs
+++ b/src/state/record_cache.rs
@@ -31,6 +31,9 @@
     pub revision: u64,
     /// Whether all records have been listed once.
     pub synced: bool,
+    /// Whether pages of a listing were applied since the last watch response, so that the records come from different
+    /// revisions.
+    mixed_revisions: bool,
     /// The leader's record.
     pub leader: Option<(LeaderRecord, u64)>,
     /// Version of the key that is attached to the leader's lease.
@@ -176,6 +179,11 @@
         self.placed_tasks.tasks_on(machine)
     }
 
+    /// Whether all records are as of one revision of the store, except for newer own commits.
+    pub fn is_consistent(&self) -> bool {
+        !self.mixed_revisions
+    }
+
     /// Applies the changes that a watch has returned.
     pub fn apply_watch_response(&mut self, response: WatchResponse) {
         for event in response.events {
@@ -189,6 +197,7 @@
             }
         }
         self.revision = self.revision.max(response.revision);
+        self.mixed_revisions = self.listing.is_some();
     }
 
     /// Puts a record into the cache, unless the cache has a newer version of it.
--- a/src/state/record_cache/listing.rs
+++ b/src/state/record_cache/listing.rs
@@ -20,6 +20,7 @@
 impl RecordCache {
     /// Applies a page of a listing; returns whether it was the last. The watch must begin at the first page's revision.
     pub fn apply_listing_page(&mut self, page: ItemPage) -> bool {
+        self.mixed_revisions = true;
         let listing = self.listing.get_or_insert_with(|| Listing {
             keys: BTreeSet::new(),
             revision: page.revision,
--- a/tests/delegated_renewal.rs
+++ b/tests/delegated_renewal.rs
@@ -10,10 +10,10 @@
 };
 use walnuttrestle::protocol::JobKind;
 
-/// A simulation in which only one follower reaches half of the machines and renews the leases of their agents by a
-/// recorded delegation, and in which the cloud is unavailable. The leader still reaches the other half, because
-/// otherwise it would transfer leadership. Also returns the indices of that follower and of the third controller.
-fn simulation_with_renewing_follower(seed: u64) -> (Simulation, usize, usize) {
+/// A simulation in which, from now on, only one follower reaches half of the machines, and in which the cloud is
+/// unavailable. The leader still reaches the other half, because otherwise it would transfer leadership. Also returns the
+/// indices of the leader, of that follower and of the third controller.
+fn simulation_with_partitioned_machines(seed: u64) -> (Simulation, [usize; 3]) {
     let mut sim = simulation_with_leader(seed, 4);
     sim.spawn_client("req-1", job(JobKind::Service, 4, 1.0), 0);
     sim.spawn_client("req-2", job(JobKind::Array, 4, 1.0), 300 * SECOND);
@@ -38,6 +38,13 @@
         120 * SECOND,
     );
     sim.cloud_unavailable = true;
+    (sim, [leader, follower, third])
+}
+
+/// The same after that follower has recorded that it renews the leases of these machines. Also returns the indices of the
+/// follower and of the third controller.
+fn simulation_with_renewing_follower(seed: u64) -> (Simulation, usize, usize) {
+    let (mut sim, [_, follower, third]) = simulation_with_partitioned_machines(seed);
     sim.run_seconds(9);
     assert_eq!(
         sim.running_instances("req-2"),
@@ -145,3 +152,29 @@
         );
     }
 }
+
+/// Guards against a leader that cannot read the records ending leases because its cache names nobody who renews them: a
+/// follower has recorded that it does, and the store was refusing the leader by then (review/3).
+#[test]
+fn leader_that_cannot_read_the_records_ends_no_lease() {
+    let mut undisturbed = 0;
+    for seed in 0..16 {
+        let (mut sim, [leader, ..]) = simulation_with_partitioned_machines(6400 + seed);
+        // The first agents come to the follower after 4 s without a response and a pause of 1 s.
+        sim.run_micros((4_600 + 50 * seed) * SECOND / 1_000);
+        sim.store.refused_controllers.push(leader);
+        sim.run_seconds(3);
+        sim.store.refused_controllers.clear();
+        sim.store.outage = true;
+        sim.run_seconds(10);
+        let now = sim.now;
+        sim.store.end_outage(now);
+        sim.run_seconds(40);
+        undisturbed += u32::from(sim.start_counts.values().all(|starts| *starts == 1));
+    }
+    // The agents whose follower cannot record them before the outage lose their leases.
+    assert!(
+        undisturbed >= 8,
+        "in {undisturbed} of 16 runs, every task was started once"
+    );
+}
--- a/tests/lease_expiry.rs
+++ b/tests/lease_expiry.rs
@@ -1,27 +1,26 @@
 //! Expiry of agents' leases as the leader computes it.
 
 use walnuttrestle::agents::leader_state::LeaderState;
-use walnuttrestle::protocol::Clock;
 use walnuttrestle::protocol::agent_api::AgentHeartbeat;
-use walnuttrestle::protocol::{Micros, Settings};
+use walnuttrestle::protocol::key_value_api::{ItemPage, WatchResponse};
+use walnuttrestle::protocol::{Clock, Micros, Settings};
 use walnuttrestle::state::agent::Agent;
 use walnuttrestle::state::record_cache::RecordCache;
 
-/// After a partition, the answer to a direct command may be the first message with an agent's new epoch. The leader's
-/// last heartbeat response went to the previous epoch, more than a lease ago. This must not expire the new epoch.
-#[test]
-fn epoch_learned_from_a_command_answer_has_its_own_lease() {
+const MACHINE: &str = "n-1";
+
+fn at(milliseconds: u64) -> Micros {
+    Micros::millis(100_000 + milliseconds)
+}
+
+fn settings() -> Settings {
     let example = include_str!("../examples/settings.toml");
-    let settings =
-        Settings::parse("examples/settings.toml", example).expect("the example is valid");
-    let lease = Micros::secs(settings.params.agents.lease_s);
-    let at = |ms: u64| Micros::millis(100_000 + ms);
-    let clock = Clock {
-        now: at(0),
-        wall: at(0),
-    };
-    let heartbeat = |agent_epoch: u64, seq: u64| AgentHeartbeat {
-        machine: "n-1".into(),
+    Settings::parse("examples/settings.toml", example).expect("the example is valid")
+}
+
+fn heartbeat(agent_epoch: u64, seq: u64) -> AgentHeartbeat {
+    AgentHeartbeat {
+        machine: MACHINE.into(),
         address: "127.0.0.1:9".into(),
         machine_type: "box".into(),
         zone: "a".into(),
@@ -31,35 +30,107 @@
         term: 1,
         notice_s: None,
         tasks: Vec::new(),
+    }
+}
+
+fn new_leader() -> LeaderState {
+    let clock = Clock {
+        now: at(0),
+        wall: at(0),
     };
-    let mut leader = LeaderState::new(1, 1, clock);
+    LeaderState::new(1, 1, clock)
+}
+
+/// A leader that has answered the first heartbeat of an agent at `at(0)`.
+fn leader_with_agent() -> LeaderState {
+    let mut leader = new_leader();
     let mut agent = Agent::new(&heartbeat(1, 1));
     agent.update(&heartbeat(1, 1), at(0));
     agent.last_answered_at = Some(at(0));
-    leader.agents.insert("n-1".into(), agent);
-    let new_epoch_seen_at = at(0) + lease + Micros::millis(400);
-    if let Some(agent) = leader.agents.get_mut("n-1") {
+    leader.agents.insert(MACHINE.into(), agent);
+    leader
+}
+
+/// Checks the leases at `now`; returns whether the epoch of the agent has ended.
+fn epoch_ends(leader: &mut LeaderState, cache: &RecordCache, now: Micros) -> bool {
+    leader.expire_leases(&settings(), cache, Micros::ZERO, now);
+    leader.agents.values().all(Agent::epoch_ended)
+}
+
+/// After a partition, the answer to a direct command may be the first message with an agent's new epoch. The leader's
+/// last heartbeat response went to the previous epoch, more than a lease ago. This must not expire the new epoch.
+#[test]
+fn epoch_learned_from_a_command_answer_has_its_own_lease() {
+    let lease = Micros::secs(settings().params.agents.lease_s);
+    let mut leader = leader_with_agent();
+    let cache = RecordCache::default();
+    let new_epoch_seen_at = at(400) + lease;
+    if let Some(agent) = leader.agents.get_mut(MACHINE) {
         agent.update(&heartbeat(2, 2), new_epoch_seen_at);
     }
-    let cache = RecordCache::default();
-    leader.expire_leases(
-        &settings,
-        &cache,
-        Micros::ZERO,
-        new_epoch_seen_at + Micros::millis(1),
-    );
+    let first_check = new_epoch_seen_at + Micros::millis(1);
+    leader.on_confirmed_read(first_check);
     assert!(
-        leader.agents.values().all(|agent| !agent.epoch_ended()),
+        !epoch_ends(&mut leader, &cache, first_check),
         "the new epoch expired with the lease of the previous one"
     );
-    leader.expire_leases(
-        &settings,
-        &cache,
-        Micros::ZERO,
-        new_epoch_seen_at + lease.scale(1.1) + Micros::millis(400),
-    );
+    let second_check = new_epoch_seen_at + lease.scale(1.1) + Micros::millis(400);
+    leader.on_confirmed_read(second_check);
     assert!(
-        leader.agents.values().all(Agent::epoch_ended),
+        epoch_ends(&mut leader, &cache, second_check),
         "the new epoch did not expire after its own lease"
     );
 }
+
+/// Guards against leases being ended by records that were read before the lease was over (review/3), or that were read at
+/// different times: a follower may have recorded in between that it renews the lease.
+#[test]
+fn lease_ends_only_after_a_later_read_of_the_records() {
+    let lease = Micros::secs(settings().params.agents.lease_s);
+    let over = at(400) + lease.scale(1.1);
+    let check = |minute: u64| over + Micros::millis(minute * 60_000);
+    let mut leader = leader_with_agent();
+    let mut cache = RecordCache::default();
+    assert!(
+        !epoch_ends(&mut leader, &cache, check(0)),
+        "nothing was read"
+    );
+    leader.on_confirmed_read(at(0) + lease.scale(0.9));
+    assert!(
+        !epoch_ends(&mut leader, &cache, check(1)),
+        "the records were read before the lease was over"
+    );
+    cache.apply_listing_page(ItemPage {
+        items: Vec::new(),
+        has_more: false,
+        revision: 7,
+    });
+    leader.on_confirmed_read(over);
+    assert!(
+        !epoch_ends(&mut leader, &cache, check(2)),
+        "the pages of a listing are of different revisions"
+    );
+    cache.apply_watch_response(WatchResponse {
+        revision: 8,
+        events: Vec::new(),
+    });
+    assert!(
+        epoch_ends(&mut leader, &cache, check(3)),
+        "the records were read after the lease was over"
+    );
+}
+
+/// Guards against machines that never reported to this leader being taken for lost by records that were read too early.
+#[test]
+fn leases_of_unknown_agents_end_only_after_a_later_read_of_the_records() {
+    let cancel = Micros::secs(settings().params.agents.cancel_s);
+    let over = at(400) + cancel.scale(1.1);
+    let cache = RecordCache::default();
+    let mut leader = new_leader();
+    leader.on_confirmed_read(at(0) + cancel.scale(0.9));
+    leader.expire_leases(&settings(), &cache, Micros::ZERO, over);
+    assert!(!leader.unseen_agent_leases_expired);
+    leader.on_confirmed_read(over);
+    leader.expire_leases(&settings(), &cache, Micros::ZERO, over + Micros::millis(1));
+    assert!(leader.unseen_agent_leases_expired);
+}
