Do not renew the lease of an epoch that the leader has ended

The leader answered the agent's heartbeats, which renewed its lease, and sent it no command, so that the second copies of its tasks ran to their end and the machine got no task any more.

Change: a heartbeat of an ended epoch is answered without a term. The agent stops its tasks within a lease, begins another epoch and gets tasks again.

--- a/src/agents/heartbeats.rs
+++ b/src/agents/heartbeats.rs
@@ -68,6 +68,16 @@
             self.answer_without_renewal(conn);
             return;
         }
+        if self.epoch_has_ended(&machine) {
+            // Its tasks may have been started elsewhere. Without renewals the agent soon stops them and begins another
+            // epoch, in which it gets tasks again.
+            log::warn!(
+                "lease not renewed machine={machine} agent_epoch={} reason=epoch_ended",
+                heartbeat.agent_epoch
+            );
+            self.answer_without_renewal(conn);
+            return;
+        }
         let commands = self.commands_for(clock, &heartbeat, relayed);
         let Some(leader) = &mut self.leader else {
             return;
@@ -101,6 +111,13 @@
         }
     }
 
+    /// Whether the present epoch of a machine's agent has ended according to the leader.
+    fn epoch_has_ended(&self, machine: &str) -> bool {
+        let leader = self.leader.as_ref();
+        let agent = leader.and_then(|leader| leader.agents.get(machine));
+        agent.is_some_and(Agent::epoch_ended)
+    }
+
     /// Whether a start of a task of a cancelled job may still be in flight to a machine.
     fn may_start_cancelled(&self, machine: &str) -> bool {
         let leader = self.leader.as_ref();
--- a/tests/failure_scenarios/network_partitions.rs
+++ b/tests/failure_scenarios/network_partitions.rs
@@ -405,3 +405,25 @@
         );
     }
 }
+
+/// Guards against an epoch that the leader has ended being renewed for ever: its tasks would run beside their second copies
+/// to the end, and the machine would get no task any more (review/REPORT.md, "Found in part one").
+#[test]
+fn agent_whose_epoch_the_leader_has_ended_begins_a_new_one() {
+    for seed in 0..4 {
+        let mut sim = simulation_with_leader(6480 + seed, 2);
+        sim.no_capacity = true;
+        // Otherwise the leader would return the machine.
+        sim.cloud_unavailable = true;
+        sim.end_epoch_on_leader("n-000001");
+        sim.run_seconds(16);
+        sim.spawn_client("req-1", job(JobKind::Array, 16, 1.0), 10 * SECOND);
+        sim.run_seconds(6);
+        assert_eq!(
+            sim.running_instances("req-1"),
+            16,
+            "seed {seed}: running tasks on both machines\n{}",
+            sim.dump()
+        );
+    }
+}
--- a/tests/simulation/violation_injection.rs
+++ b/tests/simulation/violation_injection.rs
@@ -63,6 +63,16 @@
         }
     }
 
+    /// Makes the leader treat the present epoch of a machine's agent as ended.
+    pub fn end_epoch_on_leader(&mut self, machine: &str) {
+        let leader = self.leader().expect("a leader");
+        let process = self.controllers[leader].process.as_mut();
+        let state = process.and_then(|process| process.leader.as_mut());
+        let agent = state.and_then(|state| state.agents.get_mut(machine));
+        let agent = agent.expect("the leader knows the agent");
+        agent.ended_epoch = Some(agent.agent_epoch);
+    }
+
     /// Sends a POST request with an arbitrary body to a controller.
     pub fn send_bytes(&mut self, controller: usize, internal: bool, path: &str, body: Vec<u8>) {
         let pending = match path {
