Keep the requests of a read barrier across a change of leadership

Cause: if the response to a barrier is the first to show that this controller leads (its claim was carried out and the answer was lost), the next barrier is sent while the requests of the first one are still stored, and overwrites them.

Change: the covered requests are taken before the cache is updated.

--- a/src/api/read_barrier.rs
+++ b/src/api/read_barrier.rs
@@ -121,18 +121,19 @@
         response: StoreResponse,
     ) {
         self.read_barrier.in_flight = false;
+        // Taken before the cache is updated: a change of leadership sends the next barrier at once.
+        let covered = std::mem::take(&mut self.read_barrier.covered);
         if let StoreResponse::Events(changes) = response {
             self.cache.apply_watch_response(changes);
             self.on_confirmed_read(sent);
             self.on_cache_updated(clock);
-            for request in std::mem::take(&mut self.read_barrier.covered) {
+            for request in covered {
                 self.resume_request(clock, request);
             }
         } else {
             if response == StoreResponse::RevisionTooOld {
                 self.reload_records(clock);
             }
-            let covered = std::mem::take(&mut self.read_barrier.covered);
             self.abort_requests(clock, covered);
         }
         self.send_read_barrier(clock);
--- a/tests/answer_consistency.rs
+++ b/tests/answer_consistency.rs
@@ -264,6 +264,36 @@
     }
 }
 
+/// Guards against requests being forgotten that wait for the read by which a controller learns that it leads: its claim was
+/// carried out, but the answer was lost.
+#[test]
+fn requests_are_answered_across_a_claim_without_an_answer() {
+    for seed in 0..8 {
+        let mut sim = simulation_with_leader(4180 + seed, 2);
+        sim.spawn_client("req-1", job(JobKind::Service, 2, 1.0), 0);
+        sim.run_seconds(6);
+        let leader = sim.leader().expect("a leader");
+        sim.crash_controller(leader, 20 * SECOND);
+        sim.faults.lost_write_answer_probability = 1.0;
+        for _ in 0..300 {
+            for controller in (0..3).filter(|i| *i != leader) {
+                sim.poll(controller, "req-1");
+            }
+            sim.run_micros(SECOND / 40);
+        }
+        sim.faults.clear();
+        sim.run_seconds(4);
+        assert!(sim.leader().is_some_and(|new_leader| new_leader != leader));
+        for controller in (0..3).filter(|i| *i != leader) {
+            assert_eq!(
+                sim.unanswered_client_requests(controller),
+                0,
+                "seed {seed}: requests to controller {controller} without an answer"
+            );
+        }
+    }
+}
+
 /// Clients send invalid requests, repeat accepted submissions, cancel completed jobs and poll unknown ones, while the leader
 /// changes and all controllers restart. Every controller must refuse an invalid request in the same way.
 #[test]
--- a/tests/simulation/inspection.rs
+++ b/tests/simulation/inspection.rs
@@ -78,6 +78,16 @@
     }
 
     /// A controller, if it runs.
+    /// Number of client requests to a controller that have not been answered.
+    pub fn unanswered_client_requests(&self, controller: usize) -> usize {
+        let pending = self.pending_responses.iter();
+        pending
+            .filter(|((receiver, _), request)| {
+                *receiver == controller && matches!(request, PendingResponse::Client { .. })
+            })
+            .count()
+    }
+
     pub fn controller(&self, controller: usize) -> Option<&Controller> {
         self.controllers[controller].process.as_ref()
     }
