--- a/tests/failure_scenarios/main.rs
+++ b/tests/failure_scenarios/main.rs
@@ -13,36 +13,6 @@
 
 use simulation::{Endpoint, PartitionMode, Simulation};
 
-/// Partitions the zones from each other: controllers from controllers and agents of the other zone. The store stays
-/// reachable.
-pub fn partition_zones(sim: &mut Simulation, duration: u64) {
-    let zone = |i: usize| if i.is_multiple_of(2) { "a" } else { "b" };
-    for i in 0..3 {
-        for j in (0..3).filter(|j| zone(*j) != zone(i)) {
-            sim.partition(
-                Endpoint::Controller(i),
-                Endpoint::Controller(j),
-                PartitionMode::Drop,
-                duration,
-            );
-        }
-        let remote_machines: Vec<String> = sim
-            .agents
-            .values()
-            .filter(|agent| agent.zone != zone(i))
-            .map(|agent| agent.name.clone())
-            .collect();
-        for machine in remote_machines {
-            sim.partition(
-                Endpoint::Controller(i),
-                Endpoint::Agent(machine),
-                PartitionMode::Drop,
-                duration,
-            );
-        }
-    }
-}
-
 /// The indexes of the leader and of the two followers.
 pub fn controllers_by_role(sim: &Simulation) -> (usize, usize, usize) {
     let leader = sim.leader().expect("no leader");
--- a/tests/failure_scenarios/network_partitions.rs
+++ b/tests/failure_scenarios/network_partitions.rs
@@ -2,7 +2,6 @@
 
 use crate::controllers_by_role;
 use crate::partition_from_agents;
-use crate::partition_zones;
 use crate::simulation::{
     Endpoint, PartitionMode, SECOND, job, simulation_with_leader, with_dependencies,
 };
@@ -129,7 +128,7 @@
         assert_ne!(sim.leader(), Some(2), "seed {seed}");
         sim.spawn_client("req-2", job(JobKind::Array, 8, 1.0), 30 * SECOND);
         sim.run_seconds(10);
-        partition_zones(&mut sim, 30 * SECOND);
+        sim.partition_zones(30 * SECOND);
         sim.run_seconds(16);
         sim.cancel_until_answered("req-2");
         sim.run_seconds(60);
@@ -211,7 +210,7 @@
     let mut sim = simulation_with_leader(46, 4);
     sim.spawn_client("req-1", job(JobKind::Service, 4, 1.0), 0);
     sim.run_seconds(12);
-    partition_zones(&mut sim, 30 * SECOND);
+    sim.partition_zones(30 * SECOND);
     sim.run_seconds(12);
     for agent in sim.agents.values_mut().filter(|agent| agent.zone == "b") {
         agent.alive = false;
--- a/tests/failure_scenarios/random_faults.rs
+++ b/tests/failure_scenarios/random_faults.rs
@@ -1,6 +1,5 @@
 //! Random faults, several at a time; the run of a seed is reproducible.
 
-use crate::partition_zones;
 use crate::simulation::{Endpoint, PartitionMode, SECOND, Simulation, job, simulation_with_leader};
 use rand::RngExt;
 use walnuttrestle::protocol::agent_api::TaskPhase;
@@ -105,7 +104,7 @@
                 agent.alive = false;
             }
         }
-        7 => partition_zones(sim, duration),
+        7 => sim.partition_zones(duration),
         8 => {
             for machine in sim.machine_names() {
                 delay_between(sim, controller, &machine, duration);
--- a/tests/simulation/network.rs
+++ b/tests/simulation/network.rs
@@ -64,6 +64,25 @@
         });
     }
 
+    /// Partitions the zones from each other: controllers from controllers and agents of the other zone. The store stays
+    /// reachable.
+    pub fn partition_zones(&mut self, duration: u64) {
+        for i in 0..self.controllers.len() {
+            let zone = setup::zone_of_controller(i);
+            for j in (0..self.controllers.len()).filter(|j| setup::zone_of_controller(*j) != zone) {
+                let (first, second) = (Endpoint::Controller(i), Endpoint::Controller(j));
+                self.partition(first, second, PartitionMode::Drop, duration);
+            }
+            let remote_agents = self.agents.values().filter(|agent| agent.zone != zone);
+            let remote_machines: Vec<String> =
+                remote_agents.map(|agent| agent.name.clone()).collect();
+            for machine in remote_machines {
+                let (controller, agent) = (Endpoint::Controller(i), Endpoint::Agent(machine));
+                self.partition(controller, agent, PartitionMode::Drop, duration);
+            }
+        }
+    }
+
     /// Mode and end of the partition between two endpoints; of the one that ends last if there are several.
     fn partition_between(
         &self,
--- a/tests/simulation/setup.rs
+++ b/tests/simulation/setup.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-fn zone_of_controller(controller: usize) -> &'static str {
+pub(super) fn zone_of_controller(controller: usize) -> &'static str {
     if controller.is_multiple_of(2) {
         "a"
     } else {
