--- a/src/state/record_cache/job_records.rs
+++ b/src/state/record_cache/job_records.rs
@@ -187,16 +187,17 @@
         }
     }
 
-    /// Whether every placement of a placement batch has been superseded or merged into the job's own records.
+    /// Whether every placement of a placement batch has been superseded or merged into the job's own records. Not as long
+    /// as a record of a job in the batch cannot be read, since the job is missing from the cache then.
     pub fn is_batch_superseded(&self, number: u32) -> bool {
         let is_needed = |id: &String, placement: &TaskEntry| {
             let job = self.jobs.get(id);
             job.is_some_and(|j| j.batched_placements.contains(placement))
         };
         let placements = self.placement_batches.placements(number);
-        !placements
-            .iter()
-            .any(|(id, of_job)| of_job.iter().any(|placement| is_needed(id, placement)))
+        !placements.iter().any(|(id, of_job)| {
+            self.is_unreadable(id) || of_job.iter().any(|placement| is_needed(id, placement))
+        })
     }
 
     fn index_placements(
--- a/tests/record_cache.rs
+++ b/tests/record_cache.rs
@@ -188,6 +188,30 @@
     );
 }
 
+/// Guards against a placement batch being deleted because a job in it is missing from the cache, whose record cannot be
+/// read: its placements would be lost, and its tasks started again beside those that run.
+#[test]
+fn placement_batch_is_kept_while_a_job_in_it_is_unreadable() {
+    let mut cache = RecordCache::default();
+    let batch = to_value(&placement_batch(vec![entry(0, 1)]));
+    cache.put(&placement_batch_key(4), batch, 3);
+    cache.put(&job_key("req-1"), "spoilt".into(), 4);
+    assert!(!cache.is_batch_superseded(4), "the job is unreadable");
+    let active = to_value(&record(JobStage::Active, Vec::new()));
+    cache.put(&job_key("req-1"), active, 5);
+    assert!(
+        !cache.is_batch_superseded(4),
+        "the batch holds the placement"
+    );
+    assert_eq!(placements(&cache), [(0, 1)]);
+    let cleaned = JobRecord {
+        cleaned: true,
+        ..record(JobStage::Cancelled, Vec::new())
+    };
+    cache.put_job("req-1", cleaned, 7);
+    assert!(cache.is_batch_superseded(4), "the job was cleaned");
+}
+
 /// A record counts as unreadable until a newer version or its deletion is received. An older version that arrives late
 /// has no effect.
 #[test]
