Do not resume a leadership that was transferred

Cause: after a transfer the leader record still names this controller until another one claims. The next response to a watch then made it leader again, under the same term and the same version of the record, with an empty record writer: writes that it had sent before could still be carried out while their placements no longer counted.

Change: the version of a transferred leader record grants no leadership.

--- a/src/controller/leadership_steps.rs
+++ b/src/controller/leadership_steps.rs
@@ -15,6 +15,14 @@
     pub(crate) observed_at: Micros,
 }
 
+/// A leadership that this controller has transferred to another one.
+pub(crate) struct TransferredLeadership {
+    /// When the transfer was confirmed.
+    pub(crate) at: Micros,
+    /// Version of the leader record, which stays until another controller claims leadership.
+    record_version: u64,
+}
+
 /// Leadership that the leader record grants to this incarnation of this controller.
 struct GrantedLeadership {
     /// Fencing token.
@@ -52,15 +60,20 @@
     }
 
     /// Returns the leadership that the leader record grants to this controller. A record whose term is below the
-    /// highest term seen grants none, since the cache is stale.
+    /// highest term seen grants none, since the cache is stale. Nor does the record of a leadership that was transferred:
+    /// writes sent before the transfer may still be carried out under it, and they are forgotten.
     fn granted_leadership(&self) -> Option<GrantedLeadership> {
+        let transferred = self.transferred_leadership.as_ref();
+        let transferred_version = transferred.map(|transferred| transferred.record_version);
         self.cache
             .leader
             .as_ref()
             .filter(|(record, _)| {
                 record.node == self.settings.node && record.incarnation == self.incarnation
             })
-            .filter(|(record, _)| record.term >= self.highest_term_seen)
+            .filter(|(record, version)| {
+                record.term >= self.highest_term_seen && Some(*version) != transferred_version
+            })
             .map(|(record, version)| GrantedLeadership {
                 term: record.term,
                 version: *version,
@@ -149,7 +162,11 @@
         response: &StoreResponse,
     ) {
         if self.apply_if_committed(request, response) {
-            self.leadership_transferred_at = Some(clock.now);
+            self.transferred_leadership =
+                self.leader.as_ref().map(|leader| TransferredLeadership {
+                    at: clock.now,
+                    record_version: leader.version,
+                });
             self.step_down("other controllers reach the agents");
         } else if let Some(leader) = &mut self.leader {
             leader.unable_to_serve_since = None;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -20,7 +20,7 @@
 use crate::api::read_barrier::ReadBarrier;
 use crate::api::request_scheduler::{RequestScheduler, ScheduledRequest};
 use crate::controller::leader_lease::LeaderLease;
-use crate::controller::leadership_steps::ObservedLeaderRecord;
+use crate::controller::leadership_steps::{ObservedLeaderRecord, TransferredLeadership};
 use crate::controller::record_sync::RecordSync;
 use crate::controller::record_writes::RecordKind;
 use crate::controller::routing::HttpRequest;
@@ -94,8 +94,8 @@
     pub(crate) highest_term_seen: u64,
     /// This controller's share of the request and write budgets of the key-value store.
     pub(crate) budget: BudgetShares,
-    /// When this controller last transferred leadership to another controller.
-    pub(crate) leadership_transferred_at: Option<Micros>,
+    /// The last leadership that this controller has transferred to another one.
+    pub(crate) transferred_leadership: Option<TransferredLeadership>,
     /// When this process started.
     pub(crate) started_at: Micros,
     /// Version of the leader record that the cache holds.
@@ -147,7 +147,7 @@
             connectivity,
             highest_term_seen: 0,
             budget,
-            leadership_transferred_at: None,
+            transferred_leadership: None,
             started_at: clock.now,
             observed_leader_record: ObservedLeaderRecord {
                 version: 0,
--- a/src/leadership/election.rs
+++ b/src/leadership/election.rs
@@ -148,8 +148,9 @@
             return Micros::FAR_FUTURE;
         }
         let pause_end = self
-            .leadership_transferred_at
-            .map(|transferred_at| transferred_at + CANDIDACY_PAUSE_AFTER_TRANSFER);
+            .transferred_leadership
+            .as_ref()
+            .map(|transferred| transferred.at + CANDIDACY_PAUSE_AFTER_TRANSFER);
         if let Some(pause_end) = pause_end.filter(|end| clock.now < *end) {
             return pause_end;
         }
--- a/tests/failure_scenarios/network_partitions.rs
+++ b/tests/failure_scenarios/network_partitions.rs
@@ -3,7 +3,7 @@
 use crate::controllers_by_role;
 use crate::partition_from_agents;
 use crate::simulation::{
-    Endpoint, PartitionMode, SECOND, job, simulation_with_leader, with_dependencies,
+    Endpoint, PartitionMode, SECOND, Simulation, job, simulation_with_leader, with_dependencies,
 };
 use rand::RngExt;
 use walnuttrestle::protocol::JobKind;
@@ -339,6 +339,22 @@
     }
 }
 
+/// Partitions the leader from all agents, and all controllers from each other. Returns the leader.
+fn isolate_leader(sim: &mut Simulation) -> usize {
+    let (leader, follower, third) = controllers_by_role(sim);
+    let machines: Vec<String> = sim.agents.keys().cloned().collect();
+    partition_from_agents(sim, leader, &machines, 60 * SECOND);
+    for (i, j) in [(leader, follower), (leader, third), (follower, third)] {
+        sim.partition(
+            Endpoint::Controller(i),
+            Endpoint::Controller(j),
+            PartitionMode::Drop,
+            60 * SECOND,
+        );
+    }
+    leader
+}
+
 /// A leader that reaches the store, but neither its peers nor any agent, has to transfer leadership to a controller that
 /// agents reach; leadership must not alternate afterwards.
 #[test]
@@ -347,18 +363,8 @@
         let mut sim = simulation_with_leader(seed, 6);
         sim.spawn_client("req-1", job(JobKind::Service, 6, 1.0), 0);
         sim.run_seconds(20);
-        let (leader, follower, third) = controllers_by_role(&sim);
         let term = sim.term();
-        let machines: Vec<String> = sim.agents.keys().cloned().collect();
-        partition_from_agents(&mut sim, leader, &machines, 60 * SECOND);
-        for (i, j) in [(leader, follower), (leader, third), (follower, third)] {
-            sim.partition(
-                Endpoint::Controller(i),
-                Endpoint::Controller(j),
-                PartitionMode::Drop,
-                60 * SECOND,
-            );
-        }
+        let leader = isolate_leader(&mut sim);
         sim.run_seconds(16);
         assert!(
             sim.leader() != Some(leader) && sim.term() > term,
@@ -384,6 +390,30 @@
     }
 }
 
+/// Guards against a leader that has transferred leadership taking its own leader record, which is still there, for a new
+/// leadership: it would have forgotten the writes that it sent before, which may be carried out under that record.
+#[test]
+fn leader_that_has_transferred_leadership_does_not_resume_it() {
+    for seed in 900..910 {
+        let mut sim = simulation_with_leader(seed, 6);
+        sim.spawn_client("req-1", job(JobKind::Service, 6, 1.0), 0);
+        sim.run_seconds(20);
+        let leader = isolate_leader(&mut sim);
+        let term = sim.term();
+        let mut resigned = false;
+        for millisecond in 0..16_000 {
+            sim.run_micros(SECOND / 1_000);
+            let leads = sim.term_of_leader(leader) == Some(term);
+            assert!(
+                !(resigned && leads),
+                "seed {seed}: leads again under term {term}, {millisecond} ms after the partition"
+            );
+            resigned |= !leads;
+        }
+        assert!(resigned, "seed {seed}: leadership was not transferred");
+    }
+}
+
 /// The leader crashes and restarts within 50 ms. Its new incarnation does not continue the old one's leadership: a leader
 /// is elected at once, and only once.
 #[test]
--- a/tests/simulation/controllers.rs
+++ b/tests/simulation/controllers.rs
@@ -51,7 +51,8 @@
         self.schedule(self.now + down_time, Event::ControllerRestart(controller));
     }
 
-    fn term_of_leader(&self, controller: usize) -> Option<u64> {
+    /// The term under which a controller leads; `None` if it does not lead.
+    pub fn term_of_leader(&self, controller: usize) -> Option<u64> {
         let process = self.controllers[controller].process.as_ref()?;
         process.leader.as_ref().map(|leader| leader.term)
     }
