Keep the placed tasks of a cancelled array when a controller starts

A cancelled job without placements in its own record was filed as finished, its chunks were dropped, and nothing knew of its tasks.

Change: while a listing or a watch response is being applied, a cancelled job without placements stays among the jobs, and is filed as finished once all records are in the cache. One with an unreadable record stays: a record that cannot be read is no reason to take the job's tasks for gone.

Measured: `starting_controller_counts_the_placed_tasks_of_a_cancelled_array` failed before ("quota at 36.900: team red uses 24 GPUs of 12") and passes. Whole suite: 40 test results, none failed.

--- a/src/state/record_cache.rs
+++ b/src/state/record_cache.rs
@@ -72,6 +72,11 @@
     changed: BTreeSet<String>,
     /// Ended jobs that stay in `jobs` because some of their tasks may still run.
     ended_with_tasks: BTreeSet<String>,
+    /// Cancelled jobs that stay in `jobs` until all records of the present listing or watch response are in the cache:
+    /// chunks and batches that come after the job's record may hold placements.
+    cancelled_without_placements: BTreeSet<String>,
+    /// The events of a watch response are being applied.
+    applying_watch_response: bool,
     placed_tasks: PlacedTasks,
     /// Keys of job records, chunks and placement batches that cannot be decoded, with their versions. Requests about
     /// the jobs in them are not answered, and none of their tasks is started.
@@ -186,6 +191,7 @@
 
     /// Applies the changes that a watch has returned.
     pub fn apply_watch_response(&mut self, response: WatchResponse) {
+        self.applying_watch_response = true;
         for event in response.events {
             if event.version <= self.revision {
                 continue;
@@ -197,7 +203,9 @@
             }
         }
         self.revision = self.revision.max(response.revision);
+        self.applying_watch_response = false;
         self.mixed_revisions = self.listing.is_some();
+        self.finish_cancelled_jobs();
     }
 
     /// Puts a record into the cache, unless the cache has a newer version of it.
--- a/src/state/record_cache/job_records.rs
+++ b/src/state/record_cache/job_records.rs
@@ -278,7 +278,12 @@
     fn insert_by_stage(&mut self, id: &str, job: Job) -> bool {
         let has_ended = !job.active();
         let has_placements = job.entries().any(|e| e.machine().is_some());
-        if has_ended && !has_placements {
+        // Further records of a job that is done hold no placements.
+        let placements_may_follow = job.record.stage == JobStage::Cancelled
+            && (self.listing.is_some() || self.applying_watch_response);
+        if has_ended && !has_placements && placements_may_follow {
+            self.cancelled_without_placements.insert(id.to_string());
+        } else if has_ended && !has_placements {
             self.jobs.remove(id);
             self.ended_with_tasks.remove(id);
             self.finished.insert(id.to_string(), finished_job(&job));
@@ -292,6 +297,28 @@
         has_ended
     }
 
+    /// Moves cancelled jobs without placements to `finished`, after all records of a listing or a watch response have
+    /// been put into the cache: a job's record may come before its chunks and batches. A job with an unreadable record stays in
+    /// `jobs`, since its placements are not known.
+    pub(super) fn finish_cancelled_jobs(&mut self) {
+        if self.listing.is_some() {
+            return;
+        }
+        for id in std::mem::take(&mut self.cancelled_without_placements) {
+            let Some(job) = self.jobs.get(&id).filter(|job| !job.active()) else {
+                continue;
+            };
+            if self.is_unreadable(&id) {
+                self.cancelled_without_placements.insert(id);
+            } else if job.entries().all(|entry| entry.machine().is_none()) {
+                self.finished.insert(id.clone(), finished_job(job));
+                self.jobs.remove(&id);
+                self.ended_with_tasks.remove(&id);
+                self.changed.insert(id);
+            }
+        }
+    }
+
     /// Removes a job whose record has been deleted, unless the cached version is newer.
     pub(super) fn delete_job(&mut self, id: &str, version: u64) {
         if self.jobs.get(id).is_none_or(|j| j.version >= version) {
--- a/src/state/record_cache/listing.rs
+++ b/src/state/record_cache/listing.rs
@@ -51,6 +51,7 @@
         }
         self.revision = self.revision.max(listing.revision);
         self.synced = true;
+        self.finish_cancelled_jobs();
     }
 
     /// Keys of the cached records of the kinds that can be deleted from the store.
