--- a/tests/cancellation_during_store_outage.rs
+++ b/tests/cancellation_during_store_outage.rs
@@ -16,12 +16,6 @@
 /// Duration of the store outage in seconds, longer than the cancellation deadline.
 const OUTAGE_S: u64 = CANCEL_DEADLINE_S + 12;
 
-/// Indexes of the leader and the two followers.
-fn controllers_by_role(sim: &Simulation) -> (usize, usize, usize) {
-    let leader = sim.leader().expect("a leader");
-    (leader, (leader + 1) % 3, (leader + 2) % 3)
-}
-
 /// A simulation with a service whose replicas have to survive, and arrays for the tests to cancel.
 fn simulation_with_jobs(seed: u64) -> Simulation {
     let mut sim = simulation_with_leader(seed, 5);
@@ -46,7 +40,7 @@
 /// Makes the store refuse only the leader, then starts the outage; calls `cancel` halfway between the two and again
 /// shortly before the outage.
 fn refuse_leader_then_stop_store(sim: &mut Simulation, cancel: impl Fn(&mut Simulation, &str)) {
-    let (leader, ..) = controllers_by_role(sim);
+    let (leader, ..) = sim.controllers_by_role();
     sim.store.refused_controllers.push(leader);
     sim.run_micros(LEADER_REFUSED_US / 2);
     cancel(sim, "req-2");
@@ -96,7 +90,7 @@
 fn cancellation_confirmed_by_a_follower_is_enforced_and_other_tasks_survive() {
     for seed in 0..12 {
         let mut sim = simulation_with_jobs(2000 + seed);
-        let (_, follower, _) = controllers_by_role(&sim);
+        let (_, follower, _) = sim.controllers_by_role();
         refuse_leader_then_stop_store(&mut sim, |sim, id| sim.cancel(follower, id));
         for id in ["req-2", "req-3"] {
             assert_eq!(
@@ -137,7 +131,7 @@
 fn cancellation_forwarded_by_the_old_leader_is_enforced() {
     for seed in 0..8 {
         let mut sim = simulation_with_jobs(2020 + seed);
-        let (leader, ..) = controllers_by_role(&sim);
+        let (leader, ..) = sim.controllers_by_role();
         sim.store.refused_controllers.push(leader);
         // The leader has to notice the refusal first.
         sim.run_seconds(3);
@@ -167,7 +161,7 @@
 fn cancellations_confirmed_by_both_followers_are_enforced() {
     for seed in 0..8 {
         let mut sim = simulation_with_jobs(2040 + seed);
-        let (_, follower, third) = controllers_by_role(&sim);
+        let (_, follower, third) = sim.controllers_by_role();
         refuse_leader_then_stop_store(&mut sim, |sim, id| {
             sim.cancel(if id == "req-2" { follower } else { third }, id)
         });
@@ -186,7 +180,7 @@
             [(1_000, 200 * SECOND), (1_000, 50_000), (2 * SECOND, 50_000)]
         {
             let mut sim = simulation_with_jobs(2060 + seed);
-            let (_, follower, _) = controllers_by_role(&sim);
+            let (_, follower, _) = sim.controllers_by_role();
             refuse_leader_then_stop_store(&mut sim, |sim, id| sim.cancel(follower, id));
             sim.run_micros(crash_delay);
             sim.crash_controller(follower, down_time);
@@ -217,7 +211,7 @@
     for seed in 0..8 {
         for direction in 0..3 {
             let mut sim = simulation_with_jobs(2080 + seed);
-            let (leader, follower, _) = controllers_by_role(&sim);
+            let (leader, follower, _) = sim.controllers_by_role();
             let (from, to, until) = (
                 Endpoint::Controller(leader),
                 Endpoint::Controller(follower),
@@ -247,7 +241,7 @@
 fn isolated_leader_stops_renewing_leases_in_time() {
     for seed in 0..8 {
         let mut sim = simulation_with_jobs(2100 + seed);
-        let (leader, follower, third) = controllers_by_role(&sim);
+        let (leader, follower, third) = sim.controllers_by_role();
         for other in [follower, third] {
             sim.partition(
                 Endpoint::Controller(leader),
@@ -281,7 +275,7 @@
     for seed in 0..8 {
         for delayed in [false, true] {
             let mut sim = simulation_with_jobs(2120 + seed);
-            let (_, follower, _) = controllers_by_role(&sim);
+            let (_, follower, _) = sim.controllers_by_role();
             if delayed {
                 sim.store_delay = 1_200_000;
             } else {
@@ -313,7 +307,7 @@
     for seed in 0..8 {
         for hang in [6 * SECOND, 9 * SECOND, 20 * SECOND] {
             let mut sim = simulation_with_jobs(2140 + seed);
-            let (_, follower, _) = controllers_by_role(&sim);
+            let (_, follower, _) = sim.controllers_by_role();
             sim.spawn_client("req-5", job(JobKind::Array, 12, 1.0), 300 * SECOND);
             sim.command_delay = Some(300_000);
             sim.run_micros(900_000);
@@ -343,7 +337,7 @@
 fn unanswered_start_that_arrives_after_cancellation_is_harmless() {
     for seed in 0..8 {
         let mut sim = simulation_with_jobs(2160 + seed);
-        let (_, follower, _) = controllers_by_role(&sim);
+        let (_, follower, _) = sim.controllers_by_role();
         let delay = (LEADER_REFUSED_US / SECOND + CANCEL_DEADLINE_S + 8) * SECOND;
         sim.command_delay = Some(delay);
         sim.spawn_client("req-5", job(JobKind::Array, 12, 1.0), 300 * SECOND);
@@ -370,7 +364,7 @@
 fn job_known_to_be_cancelled_is_not_started() {
     for seed in 0..12 {
         let mut sim = simulation_with_jobs(2380 + seed);
-        let (_, follower, _) = controllers_by_role(&sim);
+        let (_, follower, _) = sim.controllers_by_role();
         let until = sim.now + 1_900_000;
         for machine in sim.machine_names() {
             sim.faults
@@ -406,7 +400,7 @@
     for seed in 0..6 {
         let mut sim = simulation_with_jobs(2180 + seed);
         for (round, ids) in [["req-2", "req-3"], ["req-4", "req-6"]].iter().enumerate() {
-            let (leader, follower, third) = controllers_by_role(&sim);
+            let (leader, follower, third) = sim.controllers_by_role();
             sim.store.refused_controllers.push(leader);
             sim.run_micros(LEADER_REFUSED_US / 2);
             sim.cancel(follower, ids[0]);
@@ -438,7 +432,7 @@
     for seed in 0..4 {
         for role in 0..3 {
             let mut sim = simulation_with_leader(2200 + seed, 5);
-            let (leader, follower, third) = controllers_by_role(&sim);
+            let (leader, follower, third) = sim.controllers_by_role();
             let old_controller = [leader, follower, third][role];
             sim.set_first_version(old_controller, true);
             sim.crash_controller(old_controller, 50_000);
@@ -447,7 +441,7 @@
             sim.spawn_client("req-2", job(JobKind::Array, 4, 1.0), 300 * SECOND);
             sim.spawn_client("req-3", job(JobKind::Array, 4, 1.0), 300 * SECOND);
             sim.run_seconds(12);
-            let (leader, follower, _) = controllers_by_role(&sim);
+            let (leader, follower, _) = sim.controllers_by_role();
             let confirming = if leader == old_controller {
                 follower
             } else {
@@ -478,7 +472,7 @@
 fn agents_that_change_controllers_stop_cancelled_tasks() {
     for seed in 0..12 {
         let mut sim = simulation_with_jobs(2220 + seed);
-        let (leader, follower, third) = controllers_by_role(&sim);
+        let (leader, follower, third) = sim.controllers_by_role();
         let cancellation_from_peer = seed % 2 == 1;
         if cancellation_from_peer {
             sim.store.refused_controllers.push(third);
@@ -554,7 +548,7 @@
         };
         sim.spawn_client("req-7", high, 200 * SECOND);
         sim.run_seconds(3);
-        let (_, follower, _) = controllers_by_role(&sim);
+        let (_, follower, _) = sim.controllers_by_role();
         refuse_leader_then_stop_store(&mut sim, |sim, id| sim.cancel(follower, id));
         sim.run_seconds(OUTAGE_S);
         assert_eq!(
@@ -576,7 +570,7 @@
             (false, 15 * SECOND),
         ] {
             let mut sim = simulation_with_jobs(2260 + seed);
-            let (_, follower, _) = controllers_by_role(&sim);
+            let (_, follower, _) = sim.controllers_by_role();
             refuse_leader_then_stop_store(&mut sim, |sim, id| sim.cancel(follower, id));
             let until = sim.now + duration;
             for machine in sim.machine_names().into_iter().take(3) {
@@ -603,7 +597,7 @@
 fn restarted_confirming_controller_relays_its_cancellations() {
     for seed in 0..12 {
         let mut sim = simulation_with_jobs(2280 + seed);
-        let (leader, follower, third) = controllers_by_role(&sim);
+        let (leader, follower, third) = sim.controllers_by_role();
         // The leader receives messages from the confirming follower only, not through the third controller.
         sim.partition(
             Endpoint::Controller(leader),
@@ -673,7 +667,7 @@
 fn cancellations_learned_from_a_peer_are_relayed() {
     for seed in 0..8 {
         let mut sim = simulation_with_jobs(2300 + seed);
-        let (leader, follower, third) = controllers_by_role(&sim);
+        let (leader, follower, third) = sim.controllers_by_role();
         sim.partition(
             Endpoint::Controller(leader),
             Endpoint::Controller(follower),
@@ -701,7 +695,7 @@
     let mut replaced = 0;
     for seed in 0..4 {
         let mut sim = simulation_with_jobs(2320 + seed);
-        let (leader, follower, third) = controllers_by_role(&sim);
+        let (leader, follower, third) = sim.controllers_by_role();
         sim.partition(
             Endpoint::Controller(leader),
             Endpoint::Controller(follower),
@@ -757,7 +751,7 @@
 fn every_heartbeat_response_stops_cancelled_tasks() {
     for seed in 0..16 {
         let mut sim = simulation_with_jobs(2340 + seed);
-        let (_, follower, _) = controllers_by_role(&sim);
+        let (_, follower, _) = sim.controllers_by_role();
         let until = sim.now + 120 * SECOND;
         for machine in sim.machine_names() {
             sim.faults
@@ -783,7 +777,7 @@
     let mut elections_won = 0;
     for seed in 0..12 {
         let mut sim = simulation_with_jobs(2360 + seed);
-        let (leader, lagging, confirming) = controllers_by_role(&sim);
+        let (leader, lagging, confirming) = sim.controllers_by_role();
         for other in [leader, lagging] {
             sim.partition(
                 Endpoint::Controller(other),
--- a/tests/failure_scenarios/main.rs
+++ b/tests/failure_scenarios/main.rs
@@ -13,12 +13,6 @@
 
 use simulation::{Endpoint, PartitionMode, Simulation};
 
-/// The indexes of the leader and of the two followers.
-pub fn controllers_by_role(sim: &Simulation) -> (usize, usize, usize) {
-    let leader = sim.leader().expect("no leader");
-    (leader, (leader + 1) % 3, (leader + 2) % 3)
-}
-
 /// Partitions a controller from the agents of these machines; messages are lost.
 pub fn partition_from_agents(
     sim: &mut Simulation,
--- a/tests/failure_scenarios/network_partitions.rs
+++ b/tests/failure_scenarios/network_partitions.rs
@@ -1,6 +1,5 @@
 //! Network partitions, crashed and hung processes, leader changes.
 
-use crate::controllers_by_role;
 use crate::partition_from_agents;
 use crate::simulation::{
     Endpoint, PartitionMode, SECOND, Simulation, job, simulation_with_leader, with_dependencies,
@@ -341,7 +340,7 @@
 
 /// Partitions the leader from all agents, and all controllers from each other. Returns the leader.
 fn isolate_leader(sim: &mut Simulation) -> usize {
-    let (leader, follower, third) = controllers_by_role(sim);
+    let (leader, follower, third) = sim.controllers_by_role();
     let machines: Vec<String> = sim.agents.keys().cloned().collect();
     partition_from_agents(sim, leader, &machines, 60 * SECOND);
     for (i, j) in [(leader, follower), (leader, third), (follower, third)] {
--- a/tests/failure_scenarios/store_outages.rs
+++ b/tests/failure_scenarios/store_outages.rs
@@ -1,7 +1,6 @@
 //! Store outages. Leases are renewed without the store while all peers respond, under a renewal grant of the leader, or in
 //! reliance on silence pledges (see crates/lease-delegation).
 
-use crate::controllers_by_role;
 use crate::partition_from_agents;
 use crate::simulation::{Endpoint, PartitionMode, SECOND, Simulation, job, simulation_with_leader};
 use rand::RngExt;
@@ -201,7 +200,7 @@
         let mut sim = simulation_with_leader(seed, 4);
         sim.spawn_client("req-1", job(JobKind::Service, 4, 4.0), 0);
         sim.run_seconds(12);
-        let (leader, follower, third) = controllers_by_role(&sim);
+        let (leader, follower, third) = sim.controllers_by_role();
         sim.store.outage = true;
         sim.run_seconds(4);
         let unreachable_machines: Vec<String> = sim
@@ -251,7 +250,7 @@
         sim.spawn_client("req-1", job(JobKind::Service, 6, 4.0), 0);
         sim.spawn_client("req-2", job(JobKind::Array, 6, 4.0), 300 * SECOND);
         sim.run_seconds(12);
-        let (leader, follower, third) = controllers_by_role(&sim);
+        let (leader, follower, third) = sim.controllers_by_role();
         sim.store.outage = true;
         sim.run_seconds(12);
         // Two machines report to the controller that will be alone, the other machines to its peers.
@@ -305,7 +304,7 @@
         sim.run_seconds(4);
         sim.store.outage = true;
         sim.run_seconds(4);
-        let (leader, follower, third) = controllers_by_role(&sim);
+        let (leader, follower, third) = sim.controllers_by_role();
         for (step, controller) in [leader, follower, third, leader, follower]
             .into_iter()
             .enumerate()
--- a/tests/job_visibility.rs
+++ b/tests/job_visibility.rs
@@ -5,7 +5,7 @@
 
 use rand::RngExt;
 use simulation::fault_injection::Duplication;
-use simulation::{Endpoint, PartitionMode, SECOND, Simulation, job, simulation_with_leader};
+use simulation::{Endpoint, PartitionMode, SECOND, Simulation, job, seeds, simulation_with_leader};
 use walnuttrestle::protocol::{JobKind, JobSpec, Priority};
 
 /// A simulation whose clients use a load balancer.
@@ -154,12 +154,7 @@
 
 #[test]
 fn every_accepted_job_stays_visible_and_runs_after_random_faults() {
-    let first = std::env::var("SEEDS_FROM")
-        .ok()
-        .and_then(|s| s.parse().ok());
-    let count = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok());
-    let first: u64 = first.unwrap_or(3000);
-    for seed in first..first + count.unwrap_or(150u64) {
+    for seed in seeds(3_000, 150) {
         assert_jobs_visible_after_faults(seed);
     }
 }
--- a/tests/random_fault_pairs.rs
+++ b/tests/random_fault_pairs.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use simulation::fault_injection::{DroppedDelivery, Duplication};
 use simulation::{
-    CANCEL_DEADLINE_S, Endpoint, LEASE_S, PartitionMode, SECOND, Simulation, job,
+    CANCEL_DEADLINE_S, Endpoint, LEASE_S, PartitionMode, SECOND, Simulation, job, seeds,
     simulation_with_leader,
 };
 use walnuttrestle::protocol::{JobKind, JobSpec, Priority};
@@ -472,9 +472,7 @@
 
 #[test]
 fn overlapping_random_faults_break_no_invariant() {
-    let env_number = |name: &str| std::env::var(name).ok().and_then(|s| s.parse::<u64>().ok());
-    let first = env_number("SEEDS_FROM").unwrap_or(9_000);
-    for seed in first..first + env_number("SEEDS").unwrap_or(120) {
+    for seed in seeds(9_000, 120) {
         run_overlapping_faults(seed);
     }
 }
--- a/tests/record_order.rs
+++ b/tests/record_order.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rmpv::Value;
-use simulation::{SECOND, Simulation, job, simulation_with_leader};
+use simulation::{SECOND, Simulation, job, seeds, simulation_with_leader};
 use walnuttrestle::protocol::codec::to_value;
 use walnuttrestle::protocol::key_value_api::{Item, ItemPage, WatchEvent, WatchResponse};
 use walnuttrestle::protocol::records::{
@@ -157,9 +157,7 @@
 /// Guards against a cancelled job being filed as finished before its chunks have come, which are then dropped.
 #[test]
 fn cache_does_not_depend_on_the_order_of_records() {
-    let env_number = |name: &str| std::env::var(name).ok().and_then(|s| s.parse::<u64>().ok());
-    let first = env_number("SEEDS_FROM").unwrap_or(FIRST_SEED);
-    for seed in first..first + env_number("SEEDS").unwrap_or(SEED_COUNT) {
+    for seed in seeds(FIRST_SEED, SEED_COUNT) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let records = draw_records(&mut rng);
         let expected = describe(&by_watch(&records));
--- a/tests/simulation/inspection.rs
+++ b/tests/simulation/inspection.rs
@@ -78,6 +78,12 @@
     }
 
     /// A controller, if it runs.
+    /// The indexes of the leader and of the two followers.
+    pub fn controllers_by_role(&self) -> (usize, usize, usize) {
+        let leader = self.leader().expect("a leader");
+        (leader, (leader + 1) % 3, (leader + 2) % 3)
+    }
+
     /// Number of client requests to a controller that have not been answered.
     pub fn unanswered_client_requests(&self, controller: usize) -> usize {
         let pending = self.pending_responses.iter();
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -46,7 +46,7 @@
 
 // Each test target uses only some of these.
 #[allow(unused_imports)]
-pub use setup::{job, settings, simulation_with_leader, with_dependencies};
+pub use setup::{job, seeds, settings, simulation_with_leader, with_dependencies};
 
 /// Simulated time is in microseconds.
 pub const SECOND: u64 = 1_000_000;
--- a/tests/simulation/setup.rs
+++ b/tests/simulation/setup.rs
@@ -84,6 +84,13 @@
     sim
 }
 
+/// The seeds of a test: those of the environment variables `SEEDS_FROM` and `SEEDS`, or the given ones.
+pub fn seeds(first: u64, count: u64) -> std::ops::Range<u64> {
+    let number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
+    let first = number("SEEDS_FROM").unwrap_or(first);
+    first..first + number("SEEDS").unwrap_or(count)
+}
+
 /// A job of team `blue` whose tasks each need this many CPUs and GPUs.
 pub fn job(kind: JobKind, tasks: u32, gpus: f64) -> JobSpec {
     JobSpec {
--- a/tests/zone_partitions.rs
+++ b/tests/zone_partitions.rs
@@ -6,7 +6,7 @@
 mod simulation;
 
 use rand::RngExt;
-use simulation::{SECOND, Simulation, job, simulation_with_leader};
+use simulation::{SECOND, Simulation, job, seeds, simulation_with_leader};
 use walnuttrestle::protocol::{JobKind, JobSpec};
 
 const FIRST_SEED: u64 = 12_000;
@@ -136,9 +136,7 @@
 
 #[test]
 fn zone_partitions_and_store_faults_break_no_invariant() {
-    let env_number = |name: &str| std::env::var(name).ok().and_then(|s| s.parse::<u64>().ok());
-    let first = env_number("SEEDS_FROM").unwrap_or(FIRST_SEED);
-    for seed in first..first + env_number("SEEDS").unwrap_or(SEED_COUNT) {
+    for seed in seeds(FIRST_SEED, SEED_COUNT) {
         run_day(seed);
     }
 }
