Keep one waiting heartbeat a machine until the renewals record is settled

Since a heartbeat now waits for the read after a lost answer, several of one agent could pile up while the store answers reads and no transaction. The newest one waits; an older one, whose agent has given up, is refused.

--- a/src/leadership/delegated_renewal.rs
+++ b/src/leadership/delegated_renewal.rs
@@ -46,8 +46,8 @@
     /// submissions and for a claim of leadership.
     write_delay: Micros,
     write_in_flight: bool,
-    /// Heartbeats that wait for a response until the record names their machines.
-    pending_heartbeats: Vec<PendingHeartbeat>,
+    /// Per machine, the newest heartbeat that waits for a response until the record names the machine.
+    pending_heartbeats: BTreeMap<String, PendingHeartbeat>,
     /// Per machine, when its agent was last redirected to the leader.
     redirected_at: BTreeMap<String, Micros>,
     /// Per machine, the highest message number of its agent. A message with the same or a lower number is a
--- a/src/leadership/delegated_renewal/heartbeat_routing.rs
+++ b/src/leadership/delegated_renewal/heartbeat_routing.rs
@@ -217,17 +217,26 @@
             // The renewal cannot be recorded, so the agent is redirected at once instead of waiting for the write.
             self.respond(connection, 421, &Misdirected::default());
         } else {
-            let renewals = &mut self.renewals;
-            let machine = heartbeat.machine.clone();
-            renewals.last_renewals.insert(machine, clock.now);
-            renewals.pending_heartbeats.push(PendingHeartbeat {
-                connection,
-                heartbeat,
-            });
+            self.wait_for_record(clock, connection, heartbeat);
             self.write_renewals_record(clock);
         }
     }
 
+    /// Delays the response to a heartbeat until the record names its machine. An older heartbeat of the machine that is
+    /// still waiting is refused: its agent has given up waiting.
+    fn wait_for_record(&mut self, clock: Clock, connection: u64, heartbeat: AgentHeartbeat) {
+        let renewals = &mut self.renewals;
+        let machine = heartbeat.machine.clone();
+        renewals.last_renewals.insert(machine.clone(), clock.now);
+        let pending = PendingHeartbeat {
+            connection,
+            heartbeat,
+        };
+        if let Some(older) = renewals.pending_heartbeats.insert(machine, pending) {
+            self.refuse(older.connection, 503, "a newer heartbeat has arrived");
+        }
+    }
+
     /// Takes over the machines that an earlier incarnation of this controller has recorded, since it may have renewed
     /// their leases until this incarnation started. The first record of this incarnation must name them for the
     /// duration of a lease: otherwise the leader would consider the leases expired and start the tasks elsewhere.
--- a/src/leadership/delegated_renewal/renewals_record.rs
+++ b/src/leadership/delegated_renewal/renewals_record.rs
@@ -164,12 +164,11 @@
 
     /// Responds to the pending heartbeats of machines that the record now names; the others wait for the next write.
     fn respond_to_recorded_machines(&mut self, clock: Clock) {
-        for pending in std::mem::take(&mut self.renewals.pending_heartbeats) {
-            let machine = &pending.heartbeat.machine;
-            if self.renewals.recorded_machines.contains(machine) {
+        for (machine, pending) in std::mem::take(&mut self.renewals.pending_heartbeats) {
+            if self.renewals.recorded_machines.contains(&machine) {
                 self.renew_recorded(clock, pending.connection, &pending.heartbeat);
             } else {
-                self.renewals.pending_heartbeats.push(pending);
+                self.renewals.pending_heartbeats.insert(machine, pending);
             }
         }
         if !self.renewals.pending_heartbeats.is_empty() {
@@ -182,13 +181,13 @@
         if self.renewals.write_in_flight {
             return;
         }
-        for pending in std::mem::take(&mut self.renewals.pending_heartbeats) {
+        for (machine, pending) in std::mem::take(&mut self.renewals.pending_heartbeats) {
             let PendingHeartbeat {
                 connection,
                 heartbeat,
             } = pending;
-            if !self.renewals.recorded_machines.contains(&heartbeat.machine) {
-                self.renewals.last_renewals.remove(&heartbeat.machine);
+            if !self.renewals.recorded_machines.contains(&machine) {
+                self.renewals.last_renewals.remove(&machine);
             }
             if self.may_renew_unrecorded(clock, &heartbeat) {
                 self.renew_unrecorded(clock, connection, &heartbeat);
