--- a/src/records/mod.rs
+++ b/src/records/mod.rs
@@ -4,3 +4,4 @@
 pub mod placement_batching;
 pub mod record_update;
 pub mod record_writer;
+mod write_settlement;
