Fill a full renewals record with the machines that it names already

A record that does not fit into one transaction left out the machines with the highest names, although their leases may just have been renewed; the leader would then have ended them. An outdated record is asked for at most once a lease check.

--- a/src/agents/timers.rs
+++ b/src/agents/timers.rs
@@ -29,13 +29,14 @@
         let Some(leader) = &mut self.leader else {
             return Micros::FAR_FUTURE;
         };
+        let check_is_due = leader.next_lease_check <= clock.now;
         let next = leader.expire_leases(
             &self.settings,
             &self.cache,
             pledges_relied_on_until,
             clock.now,
         );
-        if leader.lease_check_awaits_read {
+        if check_is_due && leader.lease_check_awaits_read {
             self.request_confirmation(clock);
         }
         next
--- a/src/leadership/delegated_renewal/renewals_record.rs
+++ b/src/leadership/delegated_renewal/renewals_record.rs
@@ -18,6 +18,8 @@
 const WRITE_BUDGET_SHARE: f64 = 0.5;
 /// Minimum time between attempts to clear the record of an earlier incarnation.
 const CLEAR_RETRY_INTERVAL: Micros = Micros::millis(1_000);
+/// A record that is too large is shortened by this fraction of its machines at a time (its reciprocal).
+const OVERFLOW_STEPS: usize = 10;
 /// Maximum ratio between the rates of a controller's clock and an agent's clock.
 const CLOCK_DRIFT_FACTOR: f64 = 1.002;
 /// Maximum delay of a timer, in seconds.
@@ -29,6 +31,25 @@
     transaction: Transaction,
 }
 
+/// The record of the first of these machines, as many as fit into `max_parts` parts of at most `max_bytes` each.
+fn fitting_parts(
+    term: u64,
+    machines: &[&String],
+    max_bytes: usize,
+    max_parts: usize,
+) -> Vec<RenewalsRecord> {
+    let mut count = machines.len();
+    loop {
+        let mut names = machines[..count].to_vec();
+        names.sort_unstable();
+        let parts = RenewalsRecord::split(term, names.into_iter(), max_bytes);
+        if parts.len() <= max_parts || count == 0 {
+            return parts;
+        }
+        count -= count.div_ceil(OVERFLOW_STEPS);
+    }
+}
+
 impl Controller {
     /// Writes the record, unless a write is in flight or the last one was too recent.
     pub(super) fn write_renewals_record(&mut self, clock: Clock) {
@@ -62,16 +83,19 @@
     fn build_record_write(&self) -> RecordWrite {
         let leadership = self.renewals.leadership;
         let limits = &self.settings.params.state;
-        let max_bytes = limits.effective_value_bytes();
-        let max_parts = limits.effective_txn_ops();
+        // Machines that do not fit into one transaction are left out, so their leases are not renewed. Those that the
+        // record names already come first: their leases may have been renewed.
+        let on_record = self.machines_on_record();
         let machines = self.renewals.last_renewals.keys();
-        let mut parts = RenewalsRecord::split(leadership.term, machines, max_bytes);
-        if parts.len() > max_parts {
-            // The machines that the record already names come first: their leases have been renewed.
-            let recorded = self.renewals.recorded_machines.iter();
-            parts = RenewalsRecord::split(leadership.term, recorded, max_bytes);
-            parts.truncate(max_parts);
-        }
+        let (mut machines, others): (Vec<&String>, Vec<&String>) =
+            machines.partition(|machine| on_record.contains(*machine));
+        machines.extend(others);
+        let mut parts = fitting_parts(
+            leadership.term,
+            &machines,
+            limits.effective_value_bytes(),
+            limits.effective_txn_ops(),
+        );
         let named: Vec<String> = parts.iter().flat_map(RenewalsRecord::machines).collect();
         let stored_parts = self.cache.renewals_of(&self.settings.node);
         let empty = RenewalsRecord::new(leadership.term, [].into_iter());
@@ -330,3 +354,6 @@
         Micros::FAR_FUTURE
     }
 }
+
+#[cfg(test)]
+mod tests;
