--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -177,8 +177,11 @@
     /// Starts all controllers and waits until each answers health checks and all workers report to one.
     pub fn ready(&self) -> Result<(), String> {
         let count = lock(&self.shared).public.len();
+        // The first is up a second before the others, so that it leads: an election among equals is a matter of luck, and
+        // the one that is first by zone and name would take over after ten seconds.
         for index in 0..count {
             self.start(index);
+            self.sleep(if index == 0 { 1.0 } else { 0.0 });
         }
         let public = lock(&self.shared).public.clone();
         let end = Instant::now() + Duration::from_secs(15);
