--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -37,6 +37,21 @@
     pub trouble: bool,
 }
 
+/// Free ports for the controllers, below those that the system gives to outgoing connections: such a connection could
+/// otherwise take the port before the controller binds it.
+fn free_ports(count: usize) -> Vec<SocketAddr> {
+    let mut found = Vec::new();
+    let mut port = 10_000 + (std::process::id() as u16 % 1_000) * 20;
+    while found.len() < count {
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if std::net::TcpListener::bind(addr).is_ok() {
+            found.push(addr);
+        }
+        port = if port >= 31_000 { 10_000 } else { port + 1 };
+    }
+    found
+}
+
 fn deploy_command() -> Vec<String> {
     let text = fs::read_to_string("deploy/service.toml").expect("deploy/service.toml; start from the repository's root");
     let line = text.lines().find_map(|l| l.strip_prefix("run = ")).expect("run");
@@ -75,10 +90,7 @@
         fs::create_dir_all(&folder).expect("a temporary folder");
         let cloud = start_cloud(&shared);
         let count = site.controllers.len();
-        let free = || listen();
-        let ports: Vec<_> = (0..2 * count).map(|_| free()).collect();
-        let addrs: Vec<SocketAddr> = ports.iter().map(|(_, a)| *a).collect();
-        drop(ports);
+        let addrs = free_ports(2 * count);
         let (public, internal) = addrs.split_at(count);
         lock(&shared).public = public.to_vec();
         let mut controllers = Vec::new();
