--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -230,35 +230,36 @@
     let leader = rig.leader();
     let near = zones[leader];
     let far = zones.iter().copied().find(|z| *z != near).ok_or("one zone only")?;
-    start_machine(&rig.shared, "n-000002", far, true);
-    start_machine(&rig.shared, "n-000003", near, true);
+    // Seven cheap machines, of which two are taken back in the end.
+    for (number, zone) in [far, far, far, near, near, near, near].iter().enumerate() {
+        start_machine(&rig.shared, &format!("n-{:06}", number + 2), zone, true);
+    }
     if !rig.wait(10.0, |w| w.workers.values().all(|m| m.answered_by == Some(leader) && m.baton > 0)) {
         return Err("the new machines do not report".into());
     }
     rig.sleep(2.5);
-    // A projection that may use cheap machines, and saves: it gets the one in the other zone.
+    // A projection that may use cheap machines, and saves; bound to the zone without the leader.
     let projection = |sheets, cards, zone| {
         let V::M(mut fields) = array("league-ops", sheets, cards, Some(zone)) else { unreachable!() };
         fields.iter_mut().for_each(|f| if f.0 == "loaners" { f.1 = V::Bool(true) });
         V::M(fields)
     };
-    let V::M(mut first) = projection(1, 1.0, far) else { unreachable!() };
-    first.iter_mut().for_each(|f| if f.0 == "yard" { f.1 = V::Nil });
-    submitted(rig, "req-000001", V::M(first), 50.0)?;
+    submitted(rig, "req-000001", projection(1, 1.0, far), 50.0)?;
     if !rig.wait(8.0, |w| runs(w, "req-000001/0")) {
         return Err("req-000001 does not run".into());
     }
-    if !lock(&rig.shared).workers["n-000002"].sheets.iter().any(|t| t.name == "req-000001/0") {
-        return Err("req-000001 runs on another machine".into());
-    }
-    let token = lock(&rig.shared).workers["n-000002"].baton;
+    let home = |w: &World| {
+        let mut found = w.workers.values().filter(|m| m.sheets.iter().any(|t| t.name == "req-000001/0"));
+        found.next().map(|m| (m.name.clone(), m.baton))
+    };
+    let (machine, token) = home(&lock(&rig.shared)).ok_or("req-000001 is nowhere")?;
     if rig.trouble {
         {
             let mut w = lock(&rig.shared);
             w.note(format!("TROUBLE: {near} and {far} can't reach each other (connections are reset)"));
             w.cut = Some(near.to_string());
         }
-        let answered = rig.wait(15.0, |w| w.workers["n-000002"].answered_by.is_some_and(|n| n != leader));
+        let answered = rig.wait(15.0, |w| w.workers[&machine].answered_by.is_some_and(|n| n != leader));
         rig.sleep(1.0);
         lock(&rig.shared).cut = None;
         rig.note("the zones reach each other again");
@@ -266,20 +267,20 @@
             return Err("no follower renews the lease".into());
         }
         rig.sleep(0.5);
-        lock(&rig.shared).workers.get_mut("n-000003").expect("worker").taken_at_order = true;
+        lock(&rig.shared).taken_with = Some("req-000002/0".into());
     }
     // A job whose start is on its way to a cheap machine when that machine is taken back; its user calls it off.
     submitted(rig, "req-000002", projection(1, 4.0, near), 100.0)?;
     rig.sleep(4.0);
     until_answered(&rig.shared, leader, "cancel", "req-000002");
     if rig.trouble {
-        if !rig.wait(6.0, |w| w.workers["n-000002"].baton > token) {
+        if !rig.wait(6.0, |w| w.workers[&machine].baton > token) {
             return Err("the leader does not raise its term".into());
         }
         rig.sleep(0.5);
         let mut w = lock(&rig.shared);
-        w.workers.get_mut("n-000002").expect("worker").gone = true;
-        w.note("TROUBLE: n-000002 is taken back without notice".into());
+        w.workers.get_mut(&machine).expect("worker").gone = true;
+        w.note(format!("TROUBLE: {machine} is taken back without notice"));
         w.calm = true;
         w.note("all troubles are over".into());
     }
--- a/review/rig-2/world.rs
+++ b/review/rig-2/world.rs
@@ -102,8 +102,6 @@
     /// Until when direct commands are held up: each is carried out after this many seconds, and not answered.
     pub hold_orders: f64,
     pub held_for: f64,
-    /// The machine is taken back when the next command arrives.
-    pub taken_at_order: bool,
     /// The node that answered the last report with 200.
     pub answered_by: Option<usize>,
 }
@@ -162,6 +160,8 @@
     pub jobs: BTreeMap<String, Job>,
     pub public: Vec<SocketAddr>,
     /// All troubles are over: from now on no job may be left waiting.
+    /// The machine to which a command about this task comes is taken back just then.
+    pub taken_with: Option<String>,
     /// The zones can't reach each other; the zone of the leader when that began.
     pub cut: Option<String>,
     pub calm: bool,
@@ -199,6 +199,7 @@
             cloud_out: false,
             jobs: BTreeMap::new(),
             public: Vec::new(),
+            taken_with: None,
             cut: None,
             calm: false,
             waiting_since: BTreeMap::new(),
@@ -839,7 +840,7 @@
         let worker = Worker {
             name: name.into(), zone: zone.into(), spot, endpoint, shift: 1, tally: 0, baton: 0,
             sheets: Vec::new(), images: BTreeSet::new(), leased_at: now, changed: true, node: 0, gone: false,
-            hold_orders: 0.0, held_for: 0.0, taken_at_order: false, answered_by: None,
+            hold_orders: 0.0, held_for: 0.0, answered_by: None,
         };
         w.workers.insert(name.into(), worker);
         w.note(format!("machine {name} is up in {zone}, spot {spot}"));
@@ -853,8 +854,8 @@
         if worker.gone {
             return None;
         }
-        if worker.taken_at_order && path == "/orders" && !body.get("orders").list().is_empty() {
-            worker.gone = true;
+        if w.taken_with.as_ref().is_some_and(|t| body.get("orders").list().iter().any(|o| o.get("sheet").str() == t)) {
+            w.workers.get_mut(&machine)?.gone = true;
             w.note(format!("TROUBLE: {machine} is taken back without notice; lost with it: {:?}", brief(&body)));
             drop(w);
             thread::sleep(Duration::from_secs(6));
