--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -18,6 +18,16 @@
     }
 }
 
+/// The small deployment of the league (kit/sites/naidu-leagues-suva.toml).
+fn naidu_small() -> Site {
+    Site {
+        name: "naidu-leagues-suva",
+        report_s: 2.0, lease_s: 10.0, cancel_s: 40.0, rps: 120.0, write_rps: 40.0, cloud_rps: 4.0, core_share: 0.04,
+        mem_mb: 72.0, sockets: 1200,
+        ..naidu(vec![("scoring-desk", 64.0, 160.0), ("league-ops", 56.0, 96.0)])
+    }
+}
+
 /// The large deployment of the print shops (kit/more/hunt/armor-print-commons-hunt.toml).
 fn armor_hunt() -> Site {
     Site {
@@ -36,7 +46,7 @@
     match case {
         "ghost" => naidu(vec![("scoring-desk", 4.0, 8.0), ("league-ops", 2.0, 2.0)]),
         "backfill" => armor_hunt(),
-        _ => naidu(vec![("scoring-desk", 64.0, 160.0), ("league-ops", 56.0, 96.0)]),
+        _ => naidu_small(),
     }
 }
 
@@ -89,6 +99,7 @@
     match case {
         "ghost" => ghost(rig),
         "backfill" => backfill(rig),
+        "renewals" => renewals(rig),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -209,3 +220,74 @@
     }
     Ok(())
 }
+
+/// A follower has recorded that it renews the lease of a machine. The leader raises its own term and goes by that record for
+/// ever.
+fn renewals(rig: &Rig) -> Result<(), String> {
+    let zones = lock(&rig.shared).site.controllers.clone();
+    start_worker(&rig.shared, "n-000001", "suva-rack");
+    rig.ready()?;
+    let leader = rig.leader();
+    let near = zones[leader];
+    let far = zones.iter().copied().find(|z| *z != near).ok_or("one zone only")?;
+    start_machine(&rig.shared, "n-000002", far, true);
+    start_machine(&rig.shared, "n-000003", near, true);
+    if !rig.wait(10.0, |w| w.workers.values().all(|m| m.answered_by == Some(leader) && m.baton > 0)) {
+        return Err("the new machines do not report".into());
+    }
+    rig.sleep(2.5);
+    // A projection that may use cheap machines, and saves: it gets the one in the other zone.
+    let projection = |sheets, cards, zone| {
+        let V::M(mut fields) = array("league-ops", sheets, cards, Some(zone)) else { unreachable!() };
+        fields.iter_mut().for_each(|f| if f.0 == "loaners" { f.1 = V::Bool(true) });
+        V::M(fields)
+    };
+    let V::M(mut first) = projection(1, 1.0, far) else { unreachable!() };
+    first.iter_mut().for_each(|f| if f.0 == "yard" { f.1 = V::Nil });
+    submitted(rig, "req-000001", V::M(first), 50.0)?;
+    if !rig.wait(8.0, |w| runs(w, "req-000001/0")) {
+        return Err("req-000001 does not run".into());
+    }
+    if !lock(&rig.shared).workers["n-000002"].sheets.iter().any(|t| t.name == "req-000001/0") {
+        return Err("req-000001 runs on another machine".into());
+    }
+    let token = lock(&rig.shared).workers["n-000002"].baton;
+    if rig.trouble {
+        {
+            let mut w = lock(&rig.shared);
+            w.note(format!("TROUBLE: {near} and {far} can't reach each other (connections are reset)"));
+            w.cut = Some(near.to_string());
+        }
+        let answered = rig.wait(15.0, |w| w.workers["n-000002"].answered_by.is_some_and(|n| n != leader));
+        rig.sleep(1.0);
+        lock(&rig.shared).cut = None;
+        rig.note("the zones reach each other again");
+        if !answered {
+            return Err("no follower renews the lease".into());
+        }
+        rig.sleep(0.5);
+        lock(&rig.shared).workers.get_mut("n-000003").expect("worker").taken_at_order = true;
+    }
+    // A job whose start is on its way to a cheap machine when that machine is taken back; its user calls it off.
+    submitted(rig, "req-000002", projection(1, 4.0, near), 100.0)?;
+    rig.sleep(4.0);
+    until_answered(&rig.shared, leader, "cancel", "req-000002");
+    if rig.trouble {
+        if !rig.wait(6.0, |w| w.workers["n-000002"].baton > token) {
+            return Err("the leader does not raise its term".into());
+        }
+        rig.sleep(0.5);
+        let mut w = lock(&rig.shared);
+        w.workers.get_mut("n-000002").expect("worker").gone = true;
+        w.note("TROUBLE: n-000002 is taken back without notice".into());
+        w.calm = true;
+        w.note("all troubles are over".into());
+    }
+    while rig.now() < 115.0 && lock(&rig.shared).broken.is_empty() {
+        if polled(rig, "req-000001", "done", 0.2) {
+            break;
+        }
+        rig.sleep(4.0);
+    }
+    Ok(())
+}
