Log which leases followers renew, and what defers the end of a lease

'delegated renewals observed' tells the term and the number of machines whenever they change; 'lease expiry deferred' (debug) names the machine.

--- a/src/agents/lease_expiry.rs
+++ b/src/agents/lease_expiry.rs
@@ -8,6 +8,7 @@
 use crate::state::agent::Agent;
 use crate::state::record_cache::RecordCache;
 use lease_delegation::lease_grantor;
+use std::collections::BTreeSet;
 
 /// Minimum interval between checks of leases, which last for seconds.
 const LEASE_CHECK_INTERVAL: Micros = Micros::millis(200);
@@ -173,6 +174,10 @@
         }
         if self.renewed_by_followers.contains(machine) {
             // A follower renews the lease, and will record when it stops doing so.
+            log::debug!(
+                "lease expiry deferred machine={machine} term={} reason=renewed_by_follower",
+                self.term
+            );
             return LeaseCheck::MayBeValid(now + RENEWED_LEASE_RECHECK);
         }
         match self
@@ -204,13 +209,18 @@
             return;
         }
         self.seen_renewals_generation = cache.renewals_generation;
-        let renewed = cache
+        let renewed: BTreeSet<String> = cache
             .renewals
             .values()
             .filter(|(record, _)| record.term == self.term)
             .flat_map(|(record, _)| record.machines())
             .collect();
         if renewed != self.renewed_by_followers {
+            log::info!(
+                "delegated renewals observed term={} machines={}",
+                self.term,
+                renewed.len()
+            );
             // A lease that followers have stopped renewing may already have expired.
             self.renewed_by_followers = renewed;
             self.dirty = true;
