Derive the leases that followers renew again when the term is raised

Cause: the leader keeps the machines whose leases followers renew, derived from their records under its term, and derived them again only when a record changed. For the same reason the revocation of the renewals of a failed follower (it raises the term) had no effect.

Evidence: the case on logs 'delegated renewals recorded term=1 machines=3', 'leadership term raised old_term=1 term=2', 'delegated renewals ended term=1 reason=leadership_changed', and after that nothing about leases.

Change: RenewedMachines keeps what it was derived from, the term and the generation of the records, and derives again if either differs. LeaderState::begin_term is the one place where a term is raised.

--- a/src/agents/leader_state.rs
+++ b/src/agents/leader_state.rs
@@ -3,6 +3,7 @@
 
 use crate::agents::failure_history::FailureHistory;
 use crate::agents::lease_expiry::LastSeenRenewal;
+use crate::agents::renewed_machines::RenewedMachines;
 use crate::cloud::inventory::Inventory;
 use crate::protocol::Clock;
 use crate::protocol::records::TaskEntry;
@@ -72,15 +73,13 @@
     /// Whether the leases of all machines that never sent us a heartbeat have expired in the worst case.
     pub unseen_agent_leases_expired: bool,
     /// Machines whose leases followers renew under our term, according to the followers' records.
-    pub renewed_by_followers: BTreeSet<String>,
+    pub renewed_by_followers: RenewedMachines,
     /// The newest renewal record seen of each follower.
     pub(super) last_seen_renewals: BTreeMap<String, LastSeenRenewal>,
     /// Since when peers have served most agents instead of us; `Micros::FAR_FUTURE` while leadership is being transferred.
     pub unable_to_serve_since: Option<Micros>,
     /// Machines with reserved capacity: the job that it is reserved for, and until when.
     pub reserved: BTreeMap<String, (String, Micros)>,
-    /// Generation of the cached renewal records from which `renewed_by_followers` was computed.
-    pub(super) seen_renewals_generation: u64,
     /// When leases are next checked for expiry.
     pub(super) next_lease_check: Micros,
     /// Whether a lease can be told to have expired only after another read of the records.
@@ -124,11 +123,10 @@
             machines_to_check: BTreeSet::new(),
             next_full_check_at: clock.now,
             unseen_agent_leases_expired: false,
-            renewed_by_followers: BTreeSet::new(),
+            renewed_by_followers: RenewedMachines::default(),
             last_seen_renewals: BTreeMap::new(),
             unable_to_serve_since: None,
             reserved: BTreeMap::new(),
-            seen_renewals_generation: u64::MAX,
             next_lease_check: Micros::ZERO,
             lease_check_awaits_read: false,
             recovery: Recovery::default(),
@@ -141,6 +139,16 @@
         }
     }
 
+    /// Continues the leadership under a higher term. As after a failover, followers may keep renewing leases under the
+    /// earlier term for a while, so the checks that wait for these leases to expire start again.
+    pub fn begin_term(&mut self, term: u64, now: Micros) {
+        log::info!("leadership term raised old_term={} term={term}", self.term);
+        self.term = term;
+        self.term_since = now;
+        self.unseen_agent_leases_expired = false;
+        self.next_full_check_at = now;
+    }
+
     /// Records that a read of the records, sent at `sent`, has confirmed our term.
     pub fn on_confirmed_read(&mut self, sent: Micros) {
         self.last_confirmed_read = self.last_confirmed_read.max(sent);
--- a/src/agents/lease_expiry.rs
+++ b/src/agents/lease_expiry.rs
@@ -8,7 +8,6 @@
 use crate::state::agent::Agent;
 use crate::state::record_cache::RecordCache;
 use lease_delegation::lease_grantor;
-use std::collections::BTreeSet;
 
 /// Minimum interval between checks of leases, which last for seconds.
 const LEASE_CHECK_INTERVAL: Micros = Micros::millis(200);
@@ -203,26 +202,15 @@
         self.dirty = true;
     }
 
-    /// Recomputes which leases followers renew if a renewal record has changed.
+    /// Updates which leases followers renew under our term.
     pub fn update_renewed_by_followers(&mut self, cache: &RecordCache) {
-        if self.seen_renewals_generation == cache.renewals_generation {
-            return;
-        }
-        self.seen_renewals_generation = cache.renewals_generation;
-        let renewed: BTreeSet<String> = cache
-            .renewals
-            .values()
-            .filter(|(record, _)| record.term == self.term)
-            .flat_map(|(record, _)| record.machines())
-            .collect();
-        if renewed != self.renewed_by_followers {
+        if self.renewed_by_followers.update(self.term, cache) {
             log::info!(
                 "delegated renewals observed term={} machines={}",
                 self.term,
-                renewed.len()
+                self.renewed_by_followers.len()
             );
             // A lease that followers have stopped renewing may already have expired.
-            self.renewed_by_followers = renewed;
             self.dirty = true;
             self.next_lease_check = Micros::ZERO;
         }
--- a/src/agents/mod.rs
+++ b/src/agents/mod.rs
@@ -6,4 +6,5 @@
 pub mod leader_state;
 pub mod lease_expiry;
 pub mod reconciliation;
+pub mod renewed_machines;
 pub mod timers;
--- a/src/controller/leadership_steps.rs
+++ b/src/controller/leadership_steps.rs
@@ -93,18 +93,8 @@
             return;
         };
         if granted.term != leader.term {
-            log::info!(
-                "leadership term raised old_term={} term={}",
-                leader.term,
-                granted.term
-            );
-            // As after a failover, followers may keep renewing leases under the old term for a while. The checks that
-            // wait for these leases to expire start again.
-            leader.term_since = clock.now;
-            leader.unseen_agent_leases_expired = false;
-            leader.next_full_check_at = clock.now;
+            leader.begin_term(granted.term, clock.now);
         }
-        leader.term = granted.term;
         leader.version = granted.version;
     }
 
--- a/tests/delegated_renewal.rs
+++ b/tests/delegated_renewal.rs
@@ -4,7 +4,7 @@
 
 mod simulation;
 
-use simulation::fault_injection::DelayedKey;
+use simulation::fault_injection::{DelayedKey, DroppedDelivery};
 use simulation::{
     CANCEL_DEADLINE_S, Endpoint, PartitionMode, SECOND, Simulation, job, simulation_with_leader,
 };
@@ -153,6 +153,69 @@
     }
 }
 
+/// The machines whose leases the follower renews.
+const PARTITIONED_MACHINES: [&str; 2] = ["n-000001", "n-000002"];
+/// After this time without a new record of a follower, the leader revokes its renewals.
+const REVOCATION_DELAY_S: u64 = 25;
+/// Time for a pass, a write, a start command and the fetch of an image, after a lease has expired.
+const RESTART_TIME_S: u64 = 8;
+
+/// Asserts that the tasks of the partitioned machines, which have died, run on the other machines.
+fn assert_tasks_restarted(sim: &Simulation, seed: u64) {
+    for (job, tasks) in [("req-1", 4), ("req-2", 4)] {
+        assert_eq!(
+            sim.running_instances(job),
+            tasks,
+            "seed {seed}: running tasks of {job}\n{}",
+            sim.dump()
+        );
+    }
+}
+
+/// Lets the machines whose leases the follower renews die. The cloud, which would show it, is unavailable.
+fn kill_partitioned_machines(sim: &mut Simulation) {
+    for machine in PARTITIONED_MACHINES {
+        sim.agents.get_mut(machine).expect("a machine").alive = false;
+    }
+}
+
+/// Guards against leases that never end because the leader has raised its term while a follower's record named their
+/// machines (review/4): the record of the earlier term counts no longer, and nobody clears it.
+#[test]
+fn leases_recorded_by_a_follower_end_after_the_term_was_raised() {
+    for seed in 0..8 {
+        let (mut sim, ..) = simulation_with_renewing_follower(6400 + seed);
+        let term = sim.term();
+        // A start without an answer, whose job is then cancelled, makes the leader raise its term.
+        let until = sim.now + 30 * SECOND;
+        for machine in ["n-000003", "n-000004"] {
+            let kinds = [DroppedDelivery::Commands];
+            sim.faults.drop_deliveries(machine, None, &kinds, until);
+        }
+        sim.spawn_client("req-3", job(JobKind::Array, 2, 1.0), 300 * SECOND);
+        sim.run_seconds(4);
+        kill_partitioned_machines(&mut sim);
+        sim.cancel_until_answered("req-3");
+        sim.run_seconds(6);
+        assert!(sim.term() > term, "seed {seed}: the term was not raised");
+        sim.run_seconds(CANCEL_DEADLINE_S + RESTART_TIME_S);
+        assert_tasks_restarted(&sim, seed);
+    }
+}
+
+/// Guards against a revocation without effect: a follower that renews leases has failed, the leader raises its term
+/// because of that, and its record of the earlier term still counts.
+#[test]
+fn leases_recorded_by_a_failed_follower_end_after_their_revocation() {
+    for seed in 0..8 {
+        let (mut sim, follower, _) = simulation_with_renewing_follower(6420 + seed);
+        kill_partitioned_machines(&mut sim);
+        sim.crash_controller(follower, 300 * SECOND);
+        sim.run_seconds(REVOCATION_DELAY_S + CANCEL_DEADLINE_S + RESTART_TIME_S);
+        assert_tasks_restarted(&sim, seed);
+    }
+}
+
 /// Guards against a leader that cannot read the records ending leases because its cache names nobody who renews them: a
 /// follower has recorded that it does, and the store was refusing the leader by then (review/3).
 #[test]
--- a/tests/lease_expiry.rs
+++ b/tests/lease_expiry.rs
@@ -2,7 +2,9 @@
 
 use walnuttrestle::agents::leader_state::LeaderState;
 use walnuttrestle::protocol::agent_api::AgentHeartbeat;
+use walnuttrestle::protocol::codec::to_value;
 use walnuttrestle::protocol::key_value_api::{ItemPage, WatchResponse};
+use walnuttrestle::protocol::records::{RenewalsRecord, renewals_key};
 use walnuttrestle::protocol::{Clock, Micros, Settings};
 use walnuttrestle::state::agent::Agent;
 use walnuttrestle::state::record_cache::RecordCache;
@@ -120,6 +122,30 @@
     );
 }
 
+/// Guards against a lease that never ends because a follower recorded under an earlier term of this leader that it renews
+/// the lease (review/4): the record counts no longer, and nobody clears it.
+#[test]
+fn renewals_recorded_under_an_earlier_term_defer_no_lease() {
+    let params = settings().params.agents;
+    let lease_over = at(400) + Micros::secs(params.lease_s).scale(1.1);
+    let mut leader = leader_with_agent();
+    let mut cache = RecordCache::default();
+    let record = RenewalsRecord::new(leader.term, [MACHINE.to_string()].iter());
+    cache.put(&renewals_key("kernel-1", 0), to_value(&record), 5);
+    leader.on_confirmed_read(lease_over);
+    assert!(
+        !epoch_ends(&mut leader, &cache, lease_over),
+        "a follower renews the lease"
+    );
+    leader.begin_term(leader.term + 1, lease_over);
+    let renewals_over = lease_over + Micros::secs(params.cancel_s).scale(1.1);
+    leader.on_confirmed_read(renewals_over);
+    assert!(
+        epoch_ends(&mut leader, &cache, renewals_over),
+        "all renewals under the earlier term are over"
+    );
+}
+
 /// Guards against machines that never reported to this leader being taken for lost by records that were read too early.
 #[test]
 fn leases_of_unknown_agents_end_only_after_a_later_read_of_the_records() {
