Check the leases of unknown agents after the term was raised

When no agent is in contact, no lease check is due; a raised term then starts the wait for the leases of machines that never reported again, and nothing ends it: their tasks count as running until a new agent reports.

Change: begin_term makes a lease check due at once. The test fails without it (next check: never).

--- a/src/agents/leader_state.rs
+++ b/src/agents/leader_state.rs
@@ -146,6 +146,7 @@
         self.term = term;
         self.term_since = now;
         self.unseen_agent_leases_expired = false;
+        self.next_lease_check = now;
         self.next_full_check_at = now;
     }
 
--- a/tests/lease_expiry.rs
+++ b/tests/lease_expiry.rs
@@ -146,6 +146,27 @@
     );
 }
 
+/// Guards against machines that nobody checks any more: no agent is in contact, so no lease check is due, and a raised term
+/// starts the wait for their leases again.
+#[test]
+fn leases_of_unknown_agents_are_checked_after_the_term_was_raised() {
+    let cancel = Micros::secs(settings().params.agents.cancel_s).scale(1.1);
+    let cache = RecordCache::default();
+    let mut leader = new_leader();
+    let raised_at = at(400) + cancel;
+    leader.on_confirmed_read(raised_at);
+    leader.expire_leases(&settings(), &cache, Micros::ZERO, raised_at);
+    assert!(leader.unseen_agent_leases_expired);
+    leader.begin_term(leader.term + 1, raised_at);
+    assert!(!leader.unseen_agent_leases_expired);
+    let renewals_over = raised_at + cancel;
+    let next_check = leader.expire_leases(&settings(), &cache, Micros::ZERO, raised_at);
+    assert!(next_check <= renewals_over, "next check at {next_check:?}");
+    leader.on_confirmed_read(renewals_over);
+    leader.expire_leases(&settings(), &cache, Micros::ZERO, renewals_over);
+    assert!(leader.unseen_agent_leases_expired);
+}
+
 /// Guards against machines that never reported to this leader being taken for lost by records that were read too early.
 #[test]
 fn leases_of_unknown_agents_end_only_after_a_later_read_of_the_records() {
