--- a/src/scheduling/apply_decision.rs
+++ b/src/scheduling/apply_decision.rs
@@ -99,6 +99,7 @@
     fn update_reservations(&mut self, reservations: Vec<Reservation>, now: Micros) {
         self.reserved.retain(|_, (_, until)| *until > now);
         for Reservation { machine, job } in reservations {
+            log::info!("machine reserved machine={machine} job={job}");
             self.reserved.insert(machine, (job, now + RESERVATION_TTL));
         }
     }
