Keep a machine reserved until long checkpoints are saved

A reservation ended 20 s after its pass, however long the preempted tasks take to save. With checkpoints of 25 s the job that had been stopped, which arrived earlier, got the machine back, and was stopped again, and so on.

Change: the reservation ends 20 s after the longest grace period of the pass. It is dropped as before once its job waits no longer.

--- a/src/scheduling/apply_decision.rs
+++ b/src/scheduling/apply_decision.rs
@@ -10,8 +10,8 @@
 use crate::scheduling::pass::{PassDecision, PassInputs, Reservation, TaskStart, decide};
 use crate::state::record_cache::{Job, RecordCache};
 
-/// How long a machine stays reserved for a job. Stopping the preempted tasks on it takes the time of a
-/// checkpoint and of one or two heartbeats.
+/// How long a machine stays reserved for a job after the preempted tasks have saved their checkpoints: the time of one or
+/// two heartbeats and of the next passes.
 const RESERVATION_TTL: Micros = Micros::millis(20_000);
 /// A requested stop is dropped after this time, so that a later pass can request it again if the task
 /// still has to stop.
@@ -79,7 +79,11 @@
         let incomplete_gangs = findings.incomplete_gangs.into_iter();
         self.incomplete_gangs
             .extend(incomplete_gangs.map(|gang| (gang.job, gang.attempt)));
-        self.update_reservations(decision.reservations, now);
+        let preemptions = preemption_stops(decision.preemptions, cache);
+        let longest_grace_s = preemptions.iter().map(|stop| stop.grace_s);
+        let longest_grace = Micros::secs(longest_grace_s.fold(0.0, f64::max));
+        let reserved_until = now + longest_grace + RESERVATION_TTL;
+        self.update_reservations(decision.reservations, reserved_until, now);
         self.record_starts(decision.starts, cache, now);
         for job in findings.cleanable_jobs {
             self.record_writer
@@ -87,7 +91,6 @@
                 .remove_entries = true;
         }
         self.record_done_tasks(findings.done_tasks, cache, now);
-        let preemptions = preemption_stops(decision.preemptions, cache);
         self.request_stops(findings.stops, cache, now);
         self.request_stops(preemptions, cache, now);
         self.expire_stops(now);
@@ -95,12 +98,12 @@
         decision.scaling
     }
 
-    /// Drops expired reservations and adds new ones.
-    fn update_reservations(&mut self, reservations: Vec<Reservation>, now: Micros) {
+    /// Drops expired reservations and adds new ones, which end at `until`.
+    fn update_reservations(&mut self, reservations: Vec<Reservation>, until: Micros, now: Micros) {
         self.reserved.retain(|_, (_, until)| *until > now);
         for Reservation { machine, job } in reservations {
             log::info!("machine reserved machine={machine} job={job}");
-            self.reserved.insert(machine, (job, now + RESERVATION_TTL));
+            self.reserved.insert(machine, (job, until));
         }
     }
 
--- a/tests/failure_scenarios/placement.rs
+++ b/tests/failure_scenarios/placement.rs
@@ -436,3 +436,42 @@
         }
     }
 }
+
+/// Guards against a reservation that ends before the tasks that were stopped for it have saved their checkpoints: others then
+/// took the machine, and were stopped for the gang in their turn.
+#[test]
+fn machine_stays_reserved_until_long_checkpoints_are_saved() {
+    for seed in 0..4 {
+        let mut sim = simulation_with_leader(3440 + seed, 1);
+        sim.no_capacity = true;
+        let saving = |tasks| JobSpec {
+            priority: Priority::Low,
+            checkpoint_s: 10.0,
+            save_s: 25.0,
+            ..job(JobKind::Array, tasks, 1.0)
+        };
+        sim.spawn_client("req-1", saving(8), 300 * SECOND);
+        sim.run_seconds(6);
+        sim.spawn_client("req-2", saving(8), 300 * SECOND);
+        let gang = JobSpec {
+            priority: Priority::High,
+            ..job(JobKind::Gang, 1, 8.0)
+        };
+        sim.spawn_client("req-3", gang, 10 * SECOND);
+        // One checkpoint, the fetch of an image and the run time of the gang.
+        sim.run_seconds(25 + 10 + 15);
+        assert!(
+            sim.job_done("req-3"),
+            "seed {seed}: the gang is not done\n{}",
+            sim.dump()
+        );
+        assert_eq!(
+            sim.start_counts["req-3/0"], 1,
+            "seed {seed}: starts of the gang"
+        );
+        assert!(
+            !sim.start_counts.contains_key("req-2/0"),
+            "seed {seed}: a task took the machine while it was being cleared"
+        );
+    }
+}
