Keep every attempt until no copy of its start can run it again

Cause: the leader let agents forget attempts that ended done, on the grounds that a copy of their start ends at once with the same result. It is started first: it fetches its image and is on the machine, for a job that may have been cancelled since and that nobody watches any more.

Change: whatever an attempt ended with, it is forgotten only once a higher term or a new epoch fences its start. Starts of earlier terms are dropped from the leader's memory when an agent shows a higher term; they grew without bound before.

--- a/src/agents/commands.rs
+++ b/src/agents/commands.rs
@@ -24,11 +24,19 @@
 const LONG_UNREACHABLE_AFTER: Micros = Micros::millis(6000);
 /// Interval of direct calls to an agent that has seemed unreachable for long.
 const UNREACHABLE_RETRY: Micros = Micros::millis(5000);
-/// Maximum number of exited attempts that an agent retains before the leader raises its term. Attempts that must not be
-/// forgotten yet lengthen every heartbeat; a higher term fences all duplicates of their starts.
-const MAX_RETAINED_EXITS: usize = 40;
-/// Minimum age of our term before it is raised because of retained exits.
-const RETAINED_EXITS_FENCE_INTERVAL: Micros = Micros::millis(60_000);
+/// Limits of the exited attempts that an agent retains, smallest first. Attempts that must not be forgotten yet lengthen
+/// every heartbeat; a higher term fences all duplicates of their starts, but every agent has to learn it. The second limit
+/// keeps heartbeats far below the size that controllers accept.
+const RETAINED_EXITS_LIMITS: [RetainedExitsLimit; 2] = [
+    RetainedExitsLimit {
+        max_exits: 40,
+        min_term_age: Micros::millis(60_000),
+    },
+    RetainedExitsLimit {
+        max_exits: 240,
+        min_term_age: Micros::millis(5_000),
+    },
+];
 /// Interval at which all agents are checked for due commands, so that commands are repeated. An agent is checked sooner
 /// when an event affects it or a job on it.
 const FULL_CHECK_INTERVAL: Micros = Micros::millis(1000);
@@ -38,6 +46,13 @@
 /// Timeout of a direct call.
 const COMMAND_TIMEOUT: Micros = Micros::millis(2500);
 
+/// If an agent retains more exited attempts than this, the leader raises its term.
+struct RetainedExitsLimit {
+    max_exits: usize,
+    /// Minimum age of the term before it is raised for this reason.
+    min_term_age: Micros,
+}
+
 /// A direct call to an agent that is about to be sent.
 struct DirectCall {
     tag: PendingCall,
@@ -68,12 +83,17 @@
 
     /// Whether the agent of a machine retains so many exited attempts that the term should be raised.
     fn retains_too_many_exits(&self, machine: &str, now: Micros) -> bool {
-        // The length is compared first because `retained_exits` looks up each start.
-        let too_many = |agent: &Agent| {
-            agent.tasks.len() > MAX_RETAINED_EXITS && agent.retained_exits() > MAX_RETAINED_EXITS
+        let Some(agent) = self.agents.get(machine) else {
+            return false;
+        };
+        let term_age = now.since(self.term_since);
+        let exceeds = |limit: &RetainedExitsLimit| {
+            // The length is compared first because `retained_exits` looks up each start.
+            term_age > limit.min_term_age
+                && agent.tasks.len() > limit.max_exits
+                && agent.retained_exits() > limit.max_exits
         };
-        now.since(self.term_since) > RETAINED_EXITS_FENCE_INTERVAL
-            && self.agents.get(machine).is_some_and(too_many)
+        RETAINED_EXITS_LIMITS.iter().any(exceeds)
     }
 
     /// Prepares a direct call with the due commands, and records its starts and stops. Returns None if there is nothing
--- a/src/state/agent.rs
+++ b/src/state/agent.rs
@@ -234,6 +234,8 @@
         if heartbeat.term > self.term {
             self.term = heartbeat.term;
             self.term_seen_at = now;
+            // The agent rejects starts of earlier terms.
+            self.starts.retain(|_, start| start.term >= heartbeat.term);
             self.reachability.on_confirmation(now);
         }
         self.update_machine(heartbeat, now);
@@ -334,13 +336,11 @@
 
     /// Whether one of our starts could run an exited attempt again if the agent forgot the attempt. That start may be
     /// an unanswered one that arrives late, or a duplicate of one that was carried out; only a higher term or another
-    /// epoch fences it off. A duplicate for a done task is harmless, because the task ends at once with the same
-    /// result.
+    /// epoch fences it off. This holds for done tasks as well: although the task would end with the same result, the
+    /// agent would start it first, perhaps after the cancellation of its job.
     pub fn may_start_again(&self, exited: &ReportedTask) -> bool {
         let start = self.start_of(&exited.job, exited.task, exited.attempt);
-        start.is_some_and(|s| {
-            s.term >= self.term && (s.unresolved || exited.exit_reason != Some(ExitReason::Done))
-        })
+        start.is_some_and(|start| start.term >= self.term)
     }
 
     /// How many exited attempts the agent must keep because a start could run them again.
--- a/tests/agent_session_model.rs
+++ b/tests/agent_session_model.rs
@@ -19,7 +19,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum Attempt {
     Running,
-    Ended,
+    Stopped,
+    Done,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -81,7 +82,7 @@
     StartSent,
     StartExecuted { start: SentStart, answered: bool },
     StartTimedOut,
-    AttemptEnded,
+    AttemptEnded(Attempt),
     NewEpoch,
     Takeover,
     TaskGivenUp,
@@ -111,10 +112,14 @@
         task: "j/0".into(),
         attempt: 1,
         phase: match attempt {
-            Attempt::Ended => TaskPhase::Exited,
             Attempt::Running => TaskPhase::Running,
+            Attempt::Stopped | Attempt::Done => TaskPhase::Exited,
+        },
+        exit_reason: match attempt {
+            Attempt::Running => None,
+            Attempt::Stopped => Some(ExitReason::Stopped),
+            Attempt::Done => Some(ExitReason::Done),
         },
-        exit_reason: (attempt == Attempt::Ended).then_some(ExitReason::Stopped),
         saved: None,
     };
     AgentHeartbeat {
@@ -260,9 +265,9 @@
     fn add_failure_steps(&self, steps: &mut Steps) {
         let state = steps.state;
         if state.attempt == Some(Attempt::Running) {
-            steps.add(Step::AttemptEnded, |next| {
-                next.attempt = Some(Attempt::Ended)
-            });
+            for ended in [Attempt::Stopped, Attempt::Done] {
+                steps.add(Step::AttemptEnded(ended), |next| next.attempt = Some(ended));
+            }
         }
         if state.agent_epoch == FIRST_EPOCH {
             steps.add(Step::NewEpoch, |next| {
@@ -337,8 +342,8 @@
         if !state.given_up && is_gone {
             steps.add(Step::TaskGivenUp, |next| next.given_up = true);
         }
-        let has_ended = heartbeat.attempt == Some(Attempt::Ended)
-            && state.attempt == Some(Attempt::Ended)
+        let has_ended = heartbeat.attempt == state.attempt
+            && matches!(state.attempt, Some(Attempt::Stopped | Attempt::Done))
             && has_current_term;
         if state.given_up && has_ended && is_current_epoch && !self.retains_ended_attempt(view) {
             steps.add(Step::AttemptForgotten, |next| next.attempt = None);
--- a/tests/simulation/fault_injection.rs
+++ b/tests/simulation/fault_injection.rs
@@ -98,6 +98,8 @@
     pub duplicate_to_same_controller: bool,
     /// Duplicates POST requests to agents and to the store.
     pub request_duplication: Option<Duplication>,
+    /// Duplicates direct commands to agents.
+    pub command_duplication: Option<Duplication>,
     /// Duplicates requests between controllers.
     pub peer_duplication: Option<Duplication>,
     pub delayed_key: Option<DelayedKey>,
@@ -328,6 +330,9 @@
         if let (Endpoint::Controller(_), Some(duplication)) = (to, self.peer_duplication) {
             return duplication.draw(rng);
         }
+        if let (Endpoint::Agent(_), Some(duplication)) = (to, self.command_duplication) {
+            return duplication.draw(rng);
+        }
         let affected = matches!(to, Endpoint::Agent(_) | Endpoint::Store) && call.method == "POST";
         self.request_duplication.filter(|_| affected)?.draw(rng)
     }
