Measure the age of the leadership, not of the term, before machines are returned

An idle machine was returned only once the term was older than the idle timeout (300 s where machines were up before the first job), and machines that never reported or can't be reached likewise. Since the leader raises its term about once a minute on clusters with many short tasks, idle machines stayed for good. What the wait is for, knowing the machines for long enough, doesn't depend on the term.

The wait for a lease before a machine with an unconfirmed cancellation is deleted stays as it was: after a raised term each agent has to show it first.

--- a/src/cloud/scale_in.rs
+++ b/src/cloud/scale_in.rs
@@ -64,6 +64,7 @@
         snapshot,
         silent_zones,
         capacity_missing,
+        leadership_age: snapshot.clock.now.since(snapshot.leader.leadership_since),
         term_age: snapshot.clock.now.since(snapshot.leader.term_since),
         idle_machines: 0,
     };
@@ -87,6 +88,9 @@
     snapshot: &'a FleetSnapshot<'a>,
     silent_zones: &'a BTreeSet<String>,
     capacity_missing: bool,
+    /// Time since we acquired leadership, which a raised term does not change: the longest time for which we have known the
+    /// machines.
+    leadership_age: Micros,
     /// Age of our term.
     term_age: Micros,
     /// Number of idle machines found so far.
@@ -154,7 +158,7 @@
             Micros::secs(params.cloud.list_lag_s * TAKEOVER_LIST_LAGS)
         };
         let age = self.snapshot.clock.now.since(machine.requested_at);
-        age > boot_timeout && self.term_age > takeover
+        age > boot_timeout && self.leadership_age > takeover
     }
 
     /// Whether a machine has seemed unreachable for so long that it is deleted. The time is long enough for a one-way
@@ -163,7 +167,7 @@
         let lease_s = self.snapshot.settings.params.agents.lease_s;
         let min_unreachable = Micros::secs(lease_s * UNREACHABLE_LEASES).max(MIN_UNREACHABLE);
         self.snapshot.clock.now.since(since) > silence_limit + min_unreachable
-            && self.term_age > min_unreachable
+            && self.leadership_age > min_unreachable
     }
 
     /// Whether an idle machine is no longer worth its cost.
@@ -181,7 +185,7 @@
             .idle_since
             .is_some_and(|since| now.since(since) > idle_timeout);
         idle_for_long
-            && self.term_age > idle_timeout
+            && self.leadership_age > idle_timeout
             && !self.capacity_missing
             && self.idle_machines as f64 > policy.min_idle_machines
     }
--- a/tests/late_copies.rs
+++ b/tests/late_copies.rs
@@ -155,3 +155,32 @@
         );
     }
 }
+
+/// An idle machine of a cluster that had machines before its first job is returned after this time.
+const IDLE_TIMEOUT_S: u64 = 300;
+/// Time for passes, which run at least every five seconds, and for the call to the cloud.
+const RETURN_TIME_S: u64 = 30;
+
+/// Guards against idle machines that are never returned because the leader raises its term again and again: the age of the
+/// term tells nothing about how long the leader has known the machines.
+#[test]
+fn idle_machine_is_returned_although_the_term_is_raised_often() {
+    let mut sim = simulation_with_leader(FIRST_SEED + 400, 4);
+    let first_term = sim.term();
+    let (busy_zone, idle_zone) = ("a", "b");
+    for number in 0..(IDLE_TIMEOUT_S + RETURN_TIME_S) / 3 {
+        sim.after(number * 3 * SECOND, move |sim| {
+            let spec = JobSpec {
+                zone: Some(busy_zone.into()),
+                ..job(JobKind::Array, 8, 1.0)
+            };
+            sim.spawn_client(&format!("req-{}", 100 + number), spec, SECOND);
+        });
+    }
+    sim.run_seconds(IDLE_TIMEOUT_S + RETURN_TIME_S);
+    let raised = sim.term() - first_term;
+    assert!(raised > 2, "the term was raised {raised} times");
+    let agents = sim.agents.values();
+    let idle_machines = agents.filter(|agent| agent.zone == idle_zone && agent.alive);
+    assert_eq!(idle_machines.count(), 0, "idle machines\n{}", sim.dump());
+}
