--- a/crates/model-checker/src/lib.rs
+++ b/crates/model-checker/src/lib.rs
@@ -186,5 +186,19 @@
     }
 }
 
+/// Checks a model without each of its rules, one at a time. Returns the rules whose removal causes no violation among at
+/// most `max_states` states: the model does not show that they are needed. `model_without` builds the model without a rule.
+pub fn undetected_removals<R: Copy, M: Model>(
+    rules: &[R],
+    max_states: usize,
+    model_without: impl Fn(R) -> M,
+) -> Vec<R> {
+    let is_undetected = |rule: &R| {
+        let result = explore(&model_without(*rule), max_states);
+        !matches!(result, CheckResult::Violation { .. })
+    };
+    rules.iter().copied().filter(is_undetected).collect()
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/model-checker/src/tests.rs
+++ b/crates/model-checker/src/tests.rs
@@ -63,3 +63,9 @@
         CheckResult::LimitReached { states: 10 }
     );
 }
+
+#[test]
+fn removals_without_a_violation_are_returned() {
+    let undetected = undetected_removals(&[4, 9], 1_000, |forbidden| Buckets { forbidden });
+    assert_eq!(undetected, [9]);
+}
--- a/tests/agent_session_model.rs
+++ b/tests/agent_session_model.rs
@@ -2,8 +2,8 @@
 //! agent, one task and two successive leaders, with the real `Agent` as the leader's view. A task that the leader has given
 //! up on this agent never runs on it again. Removing any one of the rules produces a violation.
 
-use model_checker::{CheckResult, Model, explore};
-use std::collections::{BTreeMap, BTreeSet};
+use model_checker::{CheckResult, Model, explore, undetected_removals};
+use std::collections::BTreeSet;
 use walnuttrestle::protocol::Micros;
 use walnuttrestle::protocol::agent_api::{AgentHeartbeat, ExitReason, TaskPhase, TaskStatus};
 use walnuttrestle::state::agent::{Agent, StartState, TaskLiveness};
@@ -447,16 +447,8 @@
         Rule::UnresolvedStart,
         Rule::RetainedUntilFenced,
     ];
-    let mut detected = BTreeMap::new();
-    for rule in rules {
-        let model = SessionModel {
-            removed_rule: Some(rule),
-        };
-        let result = explore(&model, MAX_STATES);
-        detected.insert(
-            format!("{rule:?}"),
-            matches!(result, CheckResult::Violation { .. }),
-        );
-    }
-    assert!(detected.values().all(|found| *found), "{detected:?}");
+    let undetected = undetected_removals(&rules, MAX_STATES, |rule| SessionModel {
+        removed_rule: Some(rule),
+    });
+    assert!(undetected.is_empty(), "{undetected:?}");
 }
--- a/tests/renewals_record_model.rs
+++ b/tests/renewals_record_model.rs
@@ -3,8 +3,8 @@
 //! may be carried out late. The leader never ends the epoch of an agent that still runs its tasks. Removing any one of the
 //! rules produces a violation.
 
-use model_checker::{CheckResult, Model, explore};
-use std::collections::{BTreeMap, BTreeSet};
+use model_checker::{CheckResult, Model, explore, undetected_removals};
+use std::collections::BTreeSet;
 
 /// Duration of a lease in steps of the clock, which all parties share.
 const LEASE: u8 = 3;
@@ -323,16 +323,8 @@
         Rule::NamedUntilExpiry,
         Rule::OutstandingWritesCount,
     ];
-    let mut detected = BTreeMap::new();
-    for rule in rules {
-        let model = RenewalModel {
-            removed_rule: Some(rule),
-        };
-        let result = explore(&model, MAX_STATES);
-        detected.insert(
-            format!("{rule:?}"),
-            matches!(result, CheckResult::Violation { .. }),
-        );
-    }
-    assert!(detected.values().all(|found| *found), "{detected:?}");
+    let undetected = undetected_removals(&rules, MAX_STATES, |rule| RenewalModel {
+        removed_rule: Some(rule),
+    });
+    assert!(undetected.is_empty(), "{undetected:?}");
 }
--- a/tests/renewals_term_model.rs
+++ b/tests/renewals_term_model.rs
@@ -2,8 +2,7 @@
 //! may raise its term, the follower may fail, and the agent's machine may be lost. Whatever happens, the
 //! controllers alone bring it about that the epoch of a lost machine ends. Removing any one of the rules produces a violation.
 
-use model_checker::{CheckResult, Model, explore};
-use std::collections::BTreeMap;
+use model_checker::{CheckResult, Model, explore, undetected_removals};
 
 /// How often the leader raises its term for reasons of its own.
 const MAX_RAISES: u8 = 2;
@@ -260,16 +259,8 @@
         Rule::FailedFollowerRevoked,
         Rule::RecordCleared,
     ];
-    let mut detected = BTreeMap::new();
-    for rule in rules {
-        let model = TermModel {
-            removed_rule: Some(rule),
-        };
-        let result = explore(&model, MAX_STATES);
-        detected.insert(
-            format!("{rule:?}"),
-            matches!(result, CheckResult::Violation { .. }),
-        );
-    }
-    assert!(detected.values().all(|found| *found), "{detected:?}");
+    let undetected = undetected_removals(&rules, MAX_STATES, |rule| TermModel {
+        removed_rule: Some(rule),
+    });
+    assert!(undetected.is_empty(), "{undetected:?}");
 }
