Tests: late copies of starts after quick restarts and hangs

The story that the operators told: a controller or a machine comes back within a second, and a copy of a start that was answered arrives once more.

--- a/tests/late_copies.rs
+++ b/tests/late_copies.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use simulation::fault_injection::Duplication;
 use simulation::{
-    CANCEL_DEADLINE_S, Endpoint, PartitionMode, SECOND, Simulation, job, seeds,
+    CANCEL_DEADLINE_S, Endpoint, LEASE_S, PartitionMode, SECOND, Simulation, job, seeds,
     simulation_with_leader,
 };
 use walnuttrestle::protocol::{JobKind, JobSpec, Priority};
@@ -123,6 +123,42 @@
     }
 }
 
+/// Guards against copies that survive a restart: controllers come back within a second, machines hang for up to two leases, so
+/// that some of their agents begin new epochs, while tasks end, are cancelled and are started again elsewhere.
+#[test]
+fn copies_of_starts_run_no_task_after_quick_restarts_and_hangs() {
+    for seed in seeds(FIRST_SEED + 500, SEED_COUNT) {
+        let mut sim = simulation_with_leader(seed, 4);
+        duplicate_commands(&mut sim);
+        for (id, run_time_s) in [("req-1", 3), ("req-2", 12)] {
+            sim.spawn_client(id, job(JobKind::Array, 20, 1.0), run_time_s * SECOND);
+        }
+        sim.spawn_client("req-3", job(JobKind::Gang, 2, 4.0), 15 * SECOND);
+        for _ in 0..4 {
+            let at = sim.rng.random_range(0..30 * SECOND);
+            let down_time = sim.rng.random_range(20_000..SECOND);
+            sim.after(at, move |sim| {
+                let leader = sim.leader().unwrap_or(0);
+                sim.crash_controller(leader, down_time);
+            });
+        }
+        for machine in sim.machine_names().into_iter().take(2) {
+            let at = sim.rng.random_range(0..30 * SECOND);
+            let hang_time = sim.rng.random_range(SECOND..2 * LEASE_S * SECOND);
+            sim.after(at, move |sim| {
+                let until = sim.now + hang_time;
+                sim.agents.get_mut(&machine).expect("a machine").hung_until = until;
+            });
+        }
+        let cancel_after_s = sim.rng.random_range(6..40);
+        sim.run_seconds(cancel_after_s);
+        for id in ["req-1", "req-2", "req-3"] {
+            sim.cancel_until_answered(id);
+        }
+        run_until_copies_have_arrived(&mut sim);
+    }
+}
+
 /// The largest body of a heartbeat that a controller accepts, in bytes.
 const MAX_HEARTBEAT_BYTES: usize = 64 * 1024;
 /// Length of an exited task in a heartbeat, in bytes.
