--- a/tests/late_copies.rs
+++ b/tests/late_copies.rs
@@ -11,6 +11,7 @@
     CANCEL_DEADLINE_S, Endpoint, LEASE_S, PartitionMode, SECOND, Simulation, job, seeds,
     simulation_with_leader,
 };
+use std::ops::Range;
 use walnuttrestle::protocol::{JobKind, JobSpec, Priority};
 
 const FIRST_SEED: u64 = 14_000;
@@ -26,6 +27,15 @@
     });
 }
 
+/// Cancels jobs after a random time, in seconds.
+fn cancel_after(sim: &mut Simulation, seconds: Range<u64>, jobs: &[&str]) {
+    let delay_s = sim.rng.random_range(seconds);
+    sim.run_seconds(delay_s);
+    for job in jobs {
+        sim.cancel_until_answered(job);
+    }
+}
+
 /// Runs until no copy can arrive any more and everything that a copy has started is past its deadline.
 fn run_until_copies_have_arrived(sim: &mut Simulation) {
     sim.faults.command_duplication = None;
@@ -45,11 +55,7 @@
             let step = sim.rng.random_range(0..2) * SECOND;
             sim.jobs.get_mut(id).expect("declared").run_time_step = step;
         }
-        let cancel_after_s = sim.rng.random_range(8..30);
-        sim.run_seconds(cancel_after_s);
-        for id in ["req-1", "req-2"] {
-            sim.cancel_until_answered(id);
-        }
+        cancel_after(&mut sim, 8..30, &["req-1", "req-2"]);
         run_until_copies_have_arrived(&mut sim);
     }
 }
@@ -114,11 +120,7 @@
             sim.partition(controller, agent, PartitionMode::Drop, until_s * SECOND);
         }
         sim.spawn_client("req-2", job(JobKind::Array, 40, 1.0), 3 * SECOND);
-        let cancel_after_s = sim.rng.random_range(8..30);
-        sim.run_seconds(cancel_after_s);
-        for id in ["req-1", "req-2"] {
-            sim.cancel_until_answered(id);
-        }
+        cancel_after(&mut sim, 8..30, &["req-1", "req-2"]);
         run_until_copies_have_arrived(&mut sim);
     }
 }
@@ -150,11 +152,7 @@
                 sim.agents.get_mut(&machine).expect("a machine").hung_until = until;
             });
         }
-        let cancel_after_s = sim.rng.random_range(6..40);
-        sim.run_seconds(cancel_after_s);
-        for id in ["req-1", "req-2", "req-3"] {
-            sim.cancel_until_answered(id);
-        }
+        cancel_after(&mut sim, 6..40, &["req-1", "req-2", "req-3"]);
         run_until_copies_have_arrived(&mut sim);
     }
 }
